--- /dev/null
+++ b/Makefile
@@ -0,0 +1,49 @@
+# guavahaven: 'make help' lists what can be done here.
+
+JOBS ?= 10
+CTEST_JOBS ?= 4
+SEEDS ?= 5
+SOURCES = $(shell git ls-files 'src/*.h' 'src/*.cpp' 'tests/*.h' 'tests/*.cpp')
+
+.PHONY: help deps build build-debug demo test test-debug format format-check lint bench signature clean
+
+help: ## Show this list
+	@sed -n 's/^\([a-z-]*\):.*## /\1\t/p' Makefile | expand -t 16
+
+deps: ## Install the Debian packages that the build needs
+	@scripts/install-packages
+
+build: deps ## Build the release binaries
+	@cmake --preset release > build.log 2>&1 || { cat build.log; rm -f build.log; exit 1; }; rm -f build.log
+	@cmake --build --preset release -j $(JOBS)
+
+build-debug: deps ## Build with the address and undefined-behaviour sanitizers
+	@cmake --preset debug > build.log 2>&1 || { cat build.log; rm -f build.log; exit 1; }; rm -f build.log
+	@cmake --build --preset debug -j $(JOBS)
+
+demo: build ## Run a small deployment on this machine, and say what happened
+	@build/release/guavahaven-demo
+
+test: build ## Build and run all tests
+	@scripts/run-tests build/release $(CTEST_JOBS)
+
+test-debug: build-debug ## Run all tests under the sanitizers
+	@scripts/run-tests build/debug $(CTEST_JOBS)
+
+format: ## Format all sources
+	@clang-format -i $(SOURCES)
+
+format-check: ## Say which sources are not formatted
+	@clang-format --dry-run --Werror $(SOURCES)
+
+lint: build ## Run the linter over all sources
+	@scripts/lint $(JOBS)
+
+bench: build ## Run the latency experiment
+	@build/release/guavahaven-bench latency
+
+signature: build ## Compare the decisions' signature with the stated one
+	@scripts/check-signature
+
+clean: ## Remove all build results
+	@rm -rf build
--- /dev/null
+++ b/src/backend/door.cpp
@@ -0,0 +1,121 @@
+#include "backend/door.h"
+
+#include <charconv>
+
+#include "base/log.h"
+
+namespace guavahaven::backend {
+
+namespace {
+
+constexpr duration tick_interval = std::chrono::milliseconds(20);
+constexpr std::uint32_t slots_most = 100'000;
+
+std::optional<std::uint32_t> parameter_number(const std::string& target, const std::string& name)
+{
+    const std::string text = http::query_parameter(target, name);
+    std::uint32_t number = 0;
+    const char* end = text.data() + text.size();
+    const auto [stop, failed] = std::from_chars(text.data(), end, number);
+    if (text.empty() || failed != std::errc() || stop != end || number == 0 || number > slots_most)
+        return {};
+    return number;
+}
+
+} // namespace
+
+door::door(event_loop& loop, metrics& counts, const settings& s, data_center_name data_center,
+           std::function<void(const daemon_name&, decide::gate_to_entry)> to_entry,
+           std::function<void(decide::own_backend)> announced)
+    : loop_(loop), metrics_(counts), settings_(s), gate_(std::move(data_center)),
+      to_entry_(std::move(to_entry)), announced_(std::move(announced)),
+      server_(loop, {}, [this](const std::shared_ptr<http::exchange>& e) { take_announcement(*e); }),
+      timer_(loop, [this] { tick(); })
+{
+    timer_.arm(tick_interval);
+}
+
+status door::listen()
+{
+    return server_.listen(settings_.listen_);
+}
+
+void door::take_announcement(http::exchange& e)
+{
+    const std::string& target = e.received().target_;
+    const auto port = parameter_number(target, "port");
+    const auto slots = parameter_number(target, "slots");
+    const auto connections = parameter_number(target, "connections");
+    const service_name service(http::query_parameter(target, "service"));
+    const version_name version(http::query_parameter(target, "version"));
+    const bool valid = http::path_of(target) == "/announce" && port && *port <= 65'535 && slots &&
+                       connections && !service.empty() && !version.empty();
+    if (!valid)
+        return e.reply(
+            {400, {}, to_string(error{code::request_malformed, "not a valid announcement"}) + "\n"});
+
+    const http::address at{settings_.listen_.ip_, static_cast<std::uint16_t>(*port)};
+    if (!backend_ || at != backend_address_) {
+        backend_address_ = at;
+        backend_ = std::make_unique<http::client>(loop_, at, *connections,
+                                                  error{code::backend_unreachable, http::to_string(at)});
+    }
+    const bool draining = http::query_parameter(target, "state") == "draining";
+    if (!present_)
+        log_info("backend", "announced", "service=" + service.str() + " version=" + version.str());
+    present_ = true;
+    last_announcement_ = clock_.now();
+    handle(decide::backend_announced{service, version, *slots, *connections, draining});
+    announced_({service, version, *slots, draining});
+    e.reply({200, {}, ""});
+}
+
+void door::handle(const decide::gate_event& e)
+{
+    apply(gate_.handle(e, clock_.now()));
+}
+
+void door::apply(decide::gate_actions actions)
+{
+    for (const decide::gate_action& action : actions)
+        std::visit([this](const auto& a) { apply(a); }, action);
+}
+
+void door::apply(const decide::start_run& a)
+{
+    ++metrics_.counter("guavahaven_gate_runs_total");
+    const auto answered = [this, run = a.run_](const result<http::response>& r) {
+        if (!ok(r))
+            return handle(decide::run_broken{run});
+        http::response whole = value(r);
+        whole.headers_ = http::end_to_end(whole.headers_);
+        handle(decide::run_answered{run, std::move(whole), true});
+    };
+    if (!backend_)
+        return handle(decide::run_not_sent{a.run_});
+    backend_->send(a.request_, a.timeout_, answered);
+}
+
+void door::apply(const decide::abort_run&)
+{
+    ++metrics_.counter("guavahaven_gate_cancelled_total");
+}
+
+void door::apply(const decide::send_to_entry& a)
+{
+    to_entry_(a.to_, a.message_);
+}
+
+void door::tick()
+{
+    if (present_ && clock_.now() - last_announcement_ > settings_.announcement_timeout_) {
+        present_ = false;
+        log_warning("backend", "lost", "reason=no_announcement");
+        handle(decide::backend_lost{});
+        announced_({});
+    }
+    handle(decide::gate_tick{});
+    timer_.arm(tick_interval);
+}
+
+} // namespace guavahaven::backend
--- /dev/null
+++ b/src/backend/door.h
@@ -0,0 +1,63 @@
+#pragma once
+
+// The task that talks to the backend server beside this daemon: takes its
+// announcements, gives it requests, and feeds the gate's decisions.
+//
+//   POST /announce?service=S&version=V&port=P&slots=N&connections=N[&state=draining]
+//        answered 200; repeated by the backend server as its heartbeat
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+#include "base/http.h"
+#include "base/metrics.h"
+#include "decide/control.h"
+#include "decide/gate.h"
+
+namespace guavahaven::backend {
+
+class door {
+public:
+    struct settings {
+        http::address listen_;
+        duration announcement_timeout_{};
+    };
+
+    // to_entry passes a gate's message to the entry that asked; announced tells
+    // the control task of the backend server.
+    door(event_loop& loop, metrics& counts, const settings& s, data_center_name data_center,
+         std::function<void(const daemon_name&, decide::gate_to_entry)> to_entry,
+         std::function<void(decide::own_backend)> announced);
+
+    status listen();
+    void handle(const decide::gate_event& e);
+
+    bool busy() const { return gate_.busy(); }
+    const decide::gate& state() const { return gate_; }
+
+private:
+    void take_announcement(http::exchange& e);
+    void apply(decide::gate_actions actions);
+    void apply(const decide::start_run& a);
+    void apply(const decide::abort_run& a);
+    void apply(const decide::send_to_entry& a);
+    void tick();
+
+    event_loop& loop_;
+    metrics& metrics_;
+    settings settings_;
+    runtime_clock clock_;
+    decide::gate gate_;
+    std::function<void(const daemon_name&, decide::gate_to_entry)> to_entry_;
+    std::function<void(decide::own_backend)> announced_;
+    http::server server_;
+    std::unique_ptr<http::client> backend_;
+    http::address backend_address_;
+    time_point last_announcement_{};
+    bool present_ = false;
+    timer timer_;
+};
+
+} // namespace guavahaven::backend
--- /dev/null
+++ b/src/caller/door.h
@@ -0,0 +1,47 @@
+#pragma once
+
+// The task that talks to callers: takes their HTTP requests, feeds the entry's
+// decisions, and carries answers back whole.
+
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "base/http.h"
+#include "base/metrics.h"
+#include "decide/entry.h"
+
+namespace guavahaven::caller {
+
+class door {
+public:
+    // to_gate sends a message to a daemon's gate; with fresh, over a new connection.
+    door(event_loop& loop, metrics& counts, decide::entry decisions,
+         std::function<void(const daemon_name&, const decide::entry_to_gate&, bool fresh)> to_gate);
+
+    status listen(const http::address& at);
+    void stop_listening() { server_.stop_listening(); }
+
+    void handle(const decide::entry_event& e);
+    bool busy() const { return entry_.busy(); }
+
+private:
+    void take_request(const std::shared_ptr<http::exchange>& e);
+    void apply(const decide::send_to_gate& a);
+    void apply(const decide::reply& a);
+    void apply(const decide::reply_part& a);
+    void apply(const decide::reply_abort& a);
+    void apply(const decide::request_ended& a);
+    void tick();
+
+    metrics& metrics_;
+    runtime_clock clock_;
+    decide::entry entry_;
+    std::function<void(const daemon_name&, const decide::entry_to_gate&, bool)> to_gate_;
+    http::server server_;
+    std::map<decide::exchange_id, std::shared_ptr<http::exchange>> exchanges_;
+    decide::exchange_id last_exchange_;
+    timer timer_;
+};
+
+} // namespace guavahaven::caller
--- /dev/null
+++ b/src/decide/configuration.h
@@ -0,0 +1,169 @@
+#pragma once
+
+// The configuration: every rule of the operators' file as one immutable value,
+// swapped as a whole. It is made by operators::parse_rules, which has checked
+// that every name in it is known.
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "decide/identifiers.h"
+
+namespace guavahaven::decide {
+
+// Where a rule stands and who asked for it.
+struct origin {
+    int line_ = 0;
+    std::string asked_by_; // the line's comment
+
+    friend bool operator==(const origin&, const origin&) = default;
+};
+
+// What is given up first when not all requests can be served.
+enum class shed_order : std::uint8_t { first, normal, last };
+
+// A class of requests: how long a caller waits, and what it is worth.
+struct class_rule {
+    class_name name_;
+    duration deadline_{};
+    shed_order shed_ = shed_order::normal;
+    bool once_ = false; // at most once, even for methods that may be repeated
+    bool keep_ = false; // queued until its deadline instead of refused early
+    std::uint32_t weight_ = 1;
+    origin origin_;
+
+    friend bool operator==(const class_rule&, const class_rule&) = default;
+};
+
+// A service and the version that serves when no move or split says otherwise.
+struct service_rule {
+    service_name name_;
+    version_name version_;
+    origin origin_;
+
+    friend bool operator==(const service_rule&, const service_rule&) = default;
+};
+
+struct header_match {
+    std::string name_;
+    std::string value_;
+
+    friend bool operator==(const header_match&, const header_match&) = default;
+};
+
+// Requests that go to a service. Method "*" matches all.
+struct route_rule {
+    std::string method_;
+    std::string path_;    // without the '/*' of a prefix
+    bool prefix_ = false; // matches the path and all below it
+    std::optional<header_match> header_;
+    service_name service_;
+    class_name class_;
+    origin origin_;
+
+    friend bool operator==(const route_rule&, const route_rule&) = default;
+};
+
+struct version_share {
+    version_name version_;
+    double share_ = 0; // of 1
+
+    friend bool operator==(const version_share&, const version_share&) = default;
+};
+
+// Fixed shares between versions of a service.
+struct split_rule {
+    service_name service_;
+    std::vector<version_share> shares_;
+    origin origin_;
+
+    friend bool operator==(const split_rule&, const split_rule&) = default;
+};
+
+enum class limit_unit : std::uint8_t { per_second, at_once };
+
+// Bound on the calls of a class to a service, over the whole fleet.
+struct limit_rule {
+    service_name service_;
+    std::optional<class_name> class_; // all classes if absent
+    std::uint64_t count_ = 0;
+    limit_unit unit_ = limit_unit::per_second;
+    origin origin_;
+
+    friend bool operator==(const limit_rule&, const limit_rule&) = default;
+};
+
+// How many of a service's calls may be sent again.
+struct retry_rule {
+    service_name service_;
+    double budget_ = 0.1; // retries per first attempt
+    std::uint32_t attempts_ = 3;
+    origin origin_;
+
+    friend bool operator==(const retry_rule&, const retry_rule&) = default;
+};
+
+// A new version takes over a service by a deadline, or is withdrawn.
+struct move_rule {
+    service_name service_;
+    version_name version_;
+    wall_time deadline_{};
+    double start_share_ = 0.01; // of 1
+    origin origin_;
+
+    move_id id() const;
+
+    friend bool operator==(const move_rule&, const move_rule&) = default;
+};
+
+// A data centre that takes no new work.
+struct out_rule {
+    data_center_name data_center_;
+    origin origin_;
+
+    friend bool operator==(const out_rule&, const out_rule&) = default;
+};
+
+struct configuration {
+    configuration_number number_;
+    content_hash hash_;
+    std::string text_;
+    std::vector<class_rule> classes_;
+    std::vector<service_rule> services_;
+    std::vector<route_rule> routes_;
+    std::vector<split_rule> splits_;
+    std::vector<limit_rule> limits_;
+    std::vector<retry_rule> retries_;
+    std::vector<move_rule> moves_;
+    std::vector<out_rule> outs_;
+
+    const class_rule* find_class(const class_name& name) const;
+    const service_rule* find_service(const service_name& name) const;
+    const split_rule* find_split(const service_name& name) const;
+    const move_rule* find_move(const service_name& name) const;
+    // The defaults if no retry line names the service.
+    retry_rule retry_of(const service_name& name) const;
+    const out_rule* find_out(const data_center_name& name) const;
+
+    friend bool operator==(const configuration&, const configuration&) = default;
+};
+using configuration_ptr = std::shared_ptr<const configuration>;
+
+// The hash by which two configurations of one number are told apart.
+content_hash hash_of(const std::string& text);
+
+// What the platform and the daemons keep and pass on of a configuration.
+struct configuration_record {
+    configuration_number number_;
+    std::string author_;
+    std::uint64_t written_at_ = 0; // microseconds since 1970, by the author's clock
+    std::string text_;
+
+    friend bool operator==(const configuration_record&, const configuration_record&) = default;
+};
+
+} // namespace guavahaven::decide
--- /dev/null
+++ b/src/decide/control.h
@@ -0,0 +1,139 @@
+#pragma once
+
+// The control decisions of a daemon: which configuration is in force, who is
+// in the mesh, how far moves have come, and what is told to whom.
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/random.h"
+#include "decide/membership.h"
+#include "decide/move_tracker.h"
+
+namespace guavahaven::decide {
+
+struct control_received {
+    daemon_name from_;
+    control_message message_;
+    friend bool operator==(const control_received&, const control_received&) = default;
+};
+// The platform's configuration object, as read or watched.
+struct platform_configuration {
+    configuration_record record_;
+    friend bool operator==(const platform_configuration&, const platform_configuration&) = default;
+};
+// Daemons that may be reached first, from the settings or the platform.
+struct seeds_known {
+    std::vector<daemon_name> seeds_;
+    friend bool operator==(const seeds_known&, const seeds_known&) = default;
+};
+// Move facts kept in the platform.
+struct platform_moves {
+    std::vector<move_fact> facts_;
+    friend bool operator==(const platform_moves&, const platform_moves&) = default;
+};
+// The backend server beside this daemon; no service means that there is none.
+struct own_backend {
+    service_name service_;
+    version_name version_;
+    std::uint32_t slots_ = 0;
+    bool draining_ = false;
+    friend bool operator==(const own_backend&, const own_backend&) = default;
+};
+// What this gate has seen of its own backend server, cumulative.
+struct own_evidence {
+    std::vector<evidence> items_;
+    friend bool operator==(const own_evidence&, const own_evidence&) = default;
+};
+struct control_tick {
+    wall_time wall_;
+    friend bool operator==(const control_tick&, const control_tick&) = default;
+};
+struct leave_requested {
+    friend bool operator==(const leave_requested&, const leave_requested&) = default;
+};
+using control_event = std::variant<control_received, platform_configuration, seeds_known, platform_moves,
+                                   own_backend, own_evidence, control_tick, leave_requested>;
+
+struct publish_view {
+    view_ptr view_;
+};
+// Start or stop watching the platform.
+struct watch_platform {
+    bool watch_ = false;
+    friend bool operator==(const watch_platform&, const watch_platform&) = default;
+};
+// Join a fact into the platform's object of its service.
+struct store_move {
+    move_fact fact_;
+    friend bool operator==(const store_move&, const store_move&) = default;
+};
+// A refusal that operators should see.
+struct report_problem {
+    error error_;
+    friend bool operator==(const report_problem&, const report_problem&) = default;
+};
+using control_action = std::variant<send_control, publish_view, watch_platform, store_move, report_problem>;
+using control_actions = std::vector<control_action>;
+
+// Turns a rules text into a configuration; given by the owner, so that this
+// folder stays free of parsing.
+using configuration_parser = std::function<result<configuration>(const configuration_record&)>;
+
+class control {
+public:
+    control(member self, std::uint64_t seed, configuration_parser parse, time_point now);
+
+    control_actions handle(const control_event& event, time_point now);
+
+    view_ptr current() const { return view_; }
+    const member& self() const { return membership_.self(); }
+    const std::optional<configuration_record>& record() const { return record_; }
+    std::vector<evidence> known_evidence() const { return moves_.known_evidence(); }
+
+private:
+    void on(const control_received& e, time_point now);
+    void on(const platform_configuration& e, time_point now);
+    void on(const seeds_known& e, time_point now);
+    void on(const platform_moves& e, time_point now);
+    void on(const own_backend& e, time_point now);
+    void on(const own_evidence& e, time_point now);
+    void on(const control_tick& e, time_point now);
+    void on(const leave_requested& e, time_point now);
+
+    void take(const daemon_name& from, const announcements& m, time_point now);
+    void take(const daemon_name& from, const digest& m, time_point now);
+    void take(const daemon_name& from, const configuration_wanted& m, time_point now);
+    void take(const daemon_name& from, const configuration_whole& m, time_point now);
+    void take(const daemon_name& from, const move_facts& m, time_point now);
+    void take(const daemon_name& from, const evidence_report& m, time_point now);
+
+    // Puts a configuration in force if it is newer and whole; tells the neighbours.
+    void adopt(const configuration_record& record, const daemon_name& from);
+    void spread(const std::vector<member>& news, const daemon_name& from);
+    void spread(const std::vector<move_fact>& news, const daemon_name& from);
+    void tell_neighbours(const control_message& message, const daemon_name& except);
+    void send(const daemon_name& to, control_message message);
+    digest own_digest(bool answer_wanted) const;
+    void refresh_view();
+    void update_watch();
+
+    membership membership_;
+    move_tracker moves_;
+    random_engine random_;
+    configuration_parser parse_;
+    std::optional<configuration_record> record_;
+    configuration_ptr configuration_;
+    std::vector<daemon_name> seeds_;
+    view_ptr view_;
+    bool watching_ = false;
+    time_point last_digest_{};
+    wall_time wall_{};
+    control_actions actions_;
+};
+
+} // namespace guavahaven::decide
--- /dev/null
+++ b/src/decide/entry.h
@@ -0,0 +1,159 @@
+#pragma once
+
+// The entry's decisions: which backend server a caller's request goes to, and
+// what happens when it refuses, breaks or falls silent.
+// Typed events in, typed actions out; time and randomness are passed in.
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/random.h"
+#include "decide/call.h"
+#include "decide/view.h"
+
+namespace guavahaven::decide {
+
+// One caller's request at this entry.
+using exchange_id = strong_number<struct exchange_tag>;
+
+struct caller_request {
+    exchange_id exchange_;
+    http::request request_;
+    friend bool operator==(const caller_request&, const caller_request&) = default;
+};
+struct caller_gone {
+    exchange_id exchange_;
+    friend bool operator==(const caller_gone&, const caller_gone&) = default;
+};
+struct gate_message {
+    daemon_name from_;
+    gate_to_entry message_;
+    friend bool operator==(const gate_message&, const gate_message&) = default;
+};
+// The connection to a daemon is gone, with whatever was under way on it.
+struct gate_lost {
+    daemon_name gate_;
+    friend bool operator==(const gate_lost&, const gate_lost&) = default;
+};
+struct entry_view_changed {
+    view_ptr view_;
+};
+struct entry_tick {
+    friend bool operator==(const entry_tick&, const entry_tick&) = default;
+};
+using entry_event =
+    std::variant<caller_request, caller_gone, gate_message, gate_lost, entry_view_changed, entry_tick>;
+
+struct send_to_gate {
+    daemon_name to_;
+    entry_to_gate message_;
+    bool fresh_connection_ = false; // do not trust the connection that is open
+    friend bool operator==(const send_to_gate&, const send_to_gate&) = default;
+};
+// Answer the caller, whole or with parts to follow.
+struct reply {
+    exchange_id exchange_;
+    http::response response_;
+    bool complete_ = true;
+    friend bool operator==(const reply&, const reply&) = default;
+};
+struct reply_part {
+    exchange_id exchange_;
+    std::string bytes_;
+    bool complete_ = false;
+    friend bool operator==(const reply_part&, const reply_part&) = default;
+};
+// Cut the answer short in a way that the caller sees.
+struct reply_abort {
+    exchange_id exchange_;
+    friend bool operator==(const reply_abort&, const reply_abort&) = default;
+};
+// How a request ended, for the metrics of its class.
+struct request_ended {
+    class_name class_;
+    code code_ = code::ok;
+    duration took_{};
+    friend bool operator==(const request_ended&, const request_ended&) = default;
+};
+using entry_action = std::variant<send_to_gate, reply, reply_part, reply_abort, request_ended>;
+using entry_actions = std::vector<entry_action>;
+
+// Headers by which callers and backend servers talk to the daemons.
+inline constexpr std::string_view key_header = "Idempotency-Key";
+inline constexpr std::string_view deadline_header = "Request-Timeout-Ms"; // time left
+inline constexpr std::string_view depth_header = "Call-Depth";
+inline constexpr std::string_view identity_header = "Request-Id";
+inline constexpr std::string_view result_header = "Guavahaven-Result"; // numbered result code
+
+// The HTTP answer that tells a caller of a result code.
+http::response error_response(code c);
+
+class entry {
+public:
+    entry(daemon_name self, incarnation started, data_center_name data_center, std::uint64_t seed);
+
+    entry_actions handle(const entry_event& event, time_point now);
+
+    bool busy() const { return !requests_.empty(); }
+
+private:
+    struct request_state {
+        exchange_id exchange_;
+        call call_;
+        time_point started_;
+        time_point deadline_;
+        daemon_name gate_;
+        time_point sent_;
+        std::uint32_t attempts_ = 0;
+        bool received_ = false; // the gate has acknowledged it
+        bool fenced_ = false;
+        bool answering_ = false; // part of the answer went to the caller
+        std::set<daemon_name> tried_;
+    };
+    struct gate_state {
+        load_report load_;
+        time_point reported_{};
+        std::uint32_t in_flight_ = 0;
+    };
+
+    void on(const caller_request& e, time_point now);
+    void on(const caller_gone& e, time_point now);
+    void on(const gate_message& e, time_point now);
+    void on(const gate_lost& e, time_point now);
+    void on(const entry_view_changed& e, time_point now);
+    void on(const entry_tick& e, time_point now);
+
+    void take(request_state& r, const receipt& m, time_point now);
+    void take(request_state& r, const answer& m, time_point now);
+    void take(request_state& r, const answer_part& m, time_point now);
+    void take(request_state& r, const refusal& m, time_point now);
+    void take(request_state& r, const broken& m, time_point now);
+    void take(request_state& r, const fence_verdict& m, time_point now);
+
+    version_name choose_version(const service_name& service);
+    std::optional<daemon_name> choose_gate(const request_state& r);
+    void attempt(request_state& r, time_point now, code last_failure);
+    // After an attempt that has surely not run.
+    void try_elsewhere(request_state& r, time_point now, code why);
+    // After an attempt that may have run.
+    void settle_broken(request_state& r, time_point now, code why);
+    void ask_fate(request_state& r, time_point now);
+    void fail(request_state& r, time_point now, code why);
+    void end(request_state& r, time_point now, code result);
+
+    daemon_name self_;
+    incarnation started_;
+    data_center_name data_center_;
+    random_engine random_;
+    view_ptr view_;
+    std::uint64_t last_sequence_ = 0;
+    std::map<call_id, request_state> requests_; // by the id of the current attempt
+    std::map<daemon_name, gate_state> gates_;
+    entry_actions actions_;
+};
+
+} // namespace guavahaven::decide
--- /dev/null
+++ b/src/decide/view.cpp
@@ -0,0 +1,71 @@
+#include "decide/view.h"
+
+#include <algorithm>
+#include <array>
+
+namespace guavahaven::decide {
+
+namespace {
+
+// Shares after the start share; each stage about doubles the exposure.
+constexpr std::array later_shares{0.05, 0.15, 0.40, 1.0};
+
+} // namespace
+
+std::string_view name(member_state s)
+{
+    switch (s) {
+    case member_state::alive:
+        return "alive";
+    case member_state::suspect:
+        return "suspect";
+    case member_state::draining:
+        return "draining";
+    case member_state::left:
+        return "left";
+    case member_state::dead:
+        return "dead";
+    }
+    return "unknown";
+}
+
+move_fact merge(const move_fact& a, const move_fact& b)
+{
+    move_fact joined = a;
+    joined.stage_ = std::max(a.stage_, b.stage_);
+    joined.done_ = a.done_ || b.done_;
+    joined.withdrawn_ = a.withdrawn_ || b.withdrawn_;
+    joined.since_ = std::max(a.since_, b.since_);
+    // Of two reasons the one that belongs to a withdrawal stands; of two such, the lesser text.
+    if (a.withdrawn_ != b.withdrawn_)
+        joined.reason_ = a.withdrawn_ ? a.reason_ : b.reason_;
+    else
+        joined.reason_ = std::min(a.reason_, b.reason_);
+    return joined;
+}
+
+std::uint32_t stage_count()
+{
+    return static_cast<std::uint32_t>(later_shares.size()) + 1;
+}
+
+double share_of(const move_rule& rule, const move_fact& fact)
+{
+    if (fact.withdrawn_)
+        return 0.0;
+    if (fact.done_)
+        return 1.0;
+    if (fact.stage_ == 0)
+        return rule.start_share_;
+    const std::size_t later = std::min<std::size_t>(fact.stage_ - 1, later_shares.size() - 1);
+    return std::max(rule.start_share_, later_shares[later]);
+}
+
+const move_fact* view::find_move(move_id id) const
+{
+    const auto at =
+        std::find_if(moves_.begin(), moves_.end(), [id](const move_fact& f) { return f.id_ == id; });
+    return at == moves_.end() ? nullptr : &*at;
+}
+
+} // namespace guavahaven::decide
--- /dev/null
+++ b/src/decide/view.h
@@ -0,0 +1,71 @@
+#pragma once
+
+// What a daemon knows of the mesh at one moment: an immutable value that the
+// control task hands to the entry and the gate.
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/http.h"
+#include "decide/configuration.h"
+
+namespace guavahaven::decide {
+
+enum class member_state : std::uint8_t { alive, suspect, draining, left, dead };
+
+std::string_view name(member_state s);
+
+// What a daemon announces of itself and of the backend server beside it.
+struct member {
+    daemon_name name_;
+    incarnation incarnation_;
+    std::uint64_t revision_ = 0; // grows with each change within an incarnation
+    member_state state_ = member_state::alive;
+    data_center_name data_center_;
+    http::address peer_;
+    http::address operator_;
+    // Empty while no backend server has announced itself there.
+    service_name service_;
+    version_name version_;
+    std::uint32_t slots_ = 0;
+
+    friend bool operator==(const member&, const member&) = default;
+};
+
+// How far a move has come. Facts only grow; merging takes the furthest.
+struct move_fact {
+    move_id id_;
+    service_name service_;
+    version_name version_;
+    std::uint32_t stage_ = 0; // index into the stages of shares
+    bool done_ = false;
+    bool withdrawn_ = false; // wins over every stage and over done
+    std::string reason_;
+    std::uint64_t since_ = 0; // microseconds since 1970, of the last change
+
+    friend bool operator==(const move_fact&, const move_fact&) = default;
+};
+
+// Joins two facts of one move: commutative, associative, idempotent.
+move_fact merge(const move_fact& a, const move_fact& b);
+
+// Share of a service's calls that the new version of a move gets, of 1.
+double share_of(const move_rule& rule, const move_fact& fact);
+
+// Number of stages of a move; the last one is the whole share.
+std::uint32_t stage_count();
+
+struct view {
+    configuration_ptr configuration_; // null until one is known
+    std::vector<member> members_;     // sorted by name
+    std::vector<move_fact> moves_;
+
+    const move_fact* find_move(move_id id) const;
+};
+using view_ptr = std::shared_ptr<const view>;
+
+} // namespace guavahaven::decide
--- /dev/null
+++ b/src/main/daemon.cpp
@@ -0,0 +1,322 @@
+// guavahaven-daemon SETTINGS.ini: the process beside one backend server.
+// Exit status: 0 after a stop by SIGTERM or SIGINT, 1 wrong usage, 2 faulty
+// settings, 3 an address can't be listened on.
+
+#include <docopt/docopt.h>
+
+#include <iostream>
+
+#include "backend/door.h"
+#include "base/log.h"
+#include "base/mailbox.h"
+#include "caller/door.h"
+#include "operator/daemon_settings.h"
+#include "operator/rules.h"
+#include "operator/status.h"
+#include "peer/mesh.h"
+#include "platform/watcher.h"
+
+namespace {
+
+using namespace guavahaven;
+
+constexpr const char* usage = R"(guavahaven-daemon: the process beside one backend server.
+
+Usage:
+  guavahaven-daemon SETTINGS
+  guavahaven-daemon (-h | --help)
+  guavahaven-daemon --version
+
+Options:
+  -h --help  Show this text.
+  --version  Show the version.
+
+Exit status: 0 stopped by signal, 1 wrong usage, 2 faulty settings,
+3 an address can't be listened on.
+)";
+
+enum exit_status { stopped = 0, wrong_usage = 1, faulty_settings = 2, cannot_listen = 3 };
+
+constexpr duration control_interval = std::chrono::milliseconds(200);
+constexpr duration stop_check_interval = std::chrono::milliseconds(50);
+constexpr duration leave_notice = std::chrono::milliseconds(300); // for the news to spread before the end
+constexpr std::size_t problems_most = 16;
+
+// What the tasks post to each other.
+struct to_gate {
+    decide::gate_event event_;
+};
+struct to_entry {
+    decide::entry_event event_;
+};
+struct to_control {
+    decide::control_event event_;
+};
+using task_message = std::variant<to_gate, to_entry, to_control>;
+
+incarnation new_incarnation()
+{
+    return incarnation(static_cast<std::uint64_t>(runtime_clock().wall().time_since_epoch().count()));
+}
+
+decide::member own_member(const operators::daemon_settings& s, incarnation started)
+{
+    decide::member m;
+    m.name_ = daemon_name(http::to_string(s.advertised_));
+    m.incarnation_ = started;
+    m.data_center_ = s.data_center_;
+    m.peer_ = s.advertised_;
+    m.operator_ = s.operators_;
+    return m;
+}
+
+// All tasks of the daemon, and the paths of messages between them.
+class daemon {
+public:
+    explicit daemon(operators::daemon_settings s)
+        : settings_(std::move(s)), started_(new_incarnation()), self_(http::to_string(settings_.advertised_)),
+          seed_(hash(self_.str(), started_.value())),
+          control_(own_member(settings_, started_), seed_, operators::parse_record, clock_.now()),
+          mail_(loop_, [this](task_message&& m) { deliver(std::move(m)); }),
+          mesh_(loop_, metrics_, {peer::protocol_version, self_, started_},
+                [this](const peer::event& e) { take(e); }),
+          backend_(
+              loop_, metrics_, {settings_.backend_, settings_.announcement_timeout_}, settings_.data_center_,
+              [this](const daemon_name& to, decide::gate_to_entry m) { answer(to, std::move(m)); },
+              [this](const decide::own_backend& b) { mail_.post(to_control{b}); }),
+          caller_(loop_, metrics_, decide::entry(self_, started_, settings_.data_center_, seed_),
+                  [this](const daemon_name& to, const decide::entry_to_gate& m, bool fresh) {
+                      ask(to, m, fresh);
+                  }),
+          watcher_(loop_, metrics_, {settings_.platform_, settings_.data_center_, self_, seed_},
+                   [this](decide::control_event e) { mail_.post(to_control{std::move(e)}); }),
+          operators_(loop_, {}, [this](const std::shared_ptr<http::exchange>& e) { serve_operator(*e); }),
+          control_timer_(loop_, [this] { tick(); }), stop_timer_(loop_, [this] { finish_stop(); })
+    {
+    }
+
+    status listen()
+    {
+        for (const status& s : {mesh_.listen(settings_.peers_), backend_.listen(),
+                                operators_.listen(settings_.operators_), caller_.listen(settings_.callers_)})
+            if (!ok(s))
+                return s;
+        return std::monostate{};
+    }
+
+    void run()
+    {
+        log_info("daemon", "started", "name=" + self_.str() + " data_center=" + settings_.data_center_.str());
+        loop_.on_stop_signal([this] { begin_stop(); });
+        if (!settings_.seeds_.empty())
+            mail_.post(to_control{decide::seeds_known{settings_.seeds_}});
+        watcher_.start();
+        tick();
+        loop_.run();
+        log_info("daemon", "stopped");
+    }
+
+private:
+    void deliver(task_message&& m)
+    {
+        std::visit(guavahaven::overloaded{
+                       [this](to_gate& g) { backend_.handle(g.event_); },
+                       [this](to_entry& e) { caller_.handle(e.event_); },
+                       [this](to_control& c) { apply(control_.handle(c.event_, clock_.now())); },
+                   },
+                   m);
+    }
+
+    // From the entry here to a gate, here or elsewhere.
+    void ask(const daemon_name& to, const decide::entry_to_gate& m, bool fresh)
+    {
+        if (to == self_)
+            mail_.post(to_gate{decide::call_message{self_, m}});
+        else
+            mesh_.send(to, m, fresh);
+    }
+
+    // From the gate here to an entry, here or elsewhere.
+    void answer(const daemon_name& to, decide::gate_to_entry m)
+    {
+        if (to == self_)
+            mail_.post(to_entry{decide::gate_message{self_, std::move(m)}});
+        else
+            mesh_.send(to, m);
+    }
+
+    void take(const peer::event& e)
+    {
+        if (const auto* gone = std::get_if<peer::lost>(&e)) {
+            mail_.post(to_entry{decide::gate_lost{gone->daemon_}});
+            return;
+        }
+        const daemon_name& from = std::get<peer::received>(e).from_;
+        const peer::message& m = std::get<peer::received>(e).message_;
+        std::visit(guavahaven::overloaded{
+                       [](const peer::hello&) {},
+                       [&](const decide::entry_to_gate& x) {
+                           mail_.post(to_gate{decide::call_message{from, x}});
+                       },
+                       [&](const decide::gate_to_entry& x) {
+                           mail_.post(to_entry{decide::gate_message{from, x}});
+                       },
+                       [&](const decide::control_message& x) {
+                           mail_.post(to_control{decide::control_received{from, x}});
+                       },
+                   },
+                   m);
+    }
+
+    void apply(const decide::control_actions& actions)
+    {
+        for (const decide::control_action& action : actions)
+            std::visit([this](const auto& a) { apply(a); }, action);
+    }
+
+    void apply(const decide::send_control& a) { mesh_.send(a.to_, a.message_); }
+
+    void apply(const decide::publish_view& a)
+    {
+        backend_.handle(decide::gate_view_changed{a.view_});
+        caller_.handle(decide::entry_view_changed{a.view_});
+        const decide::configuration_ptr& c = a.view_->configuration_;
+        if (!c || c->number_ == number_)
+            return;
+        number_ = c->number_;
+        metrics_.set_gauge("guavahaven_configuration_number", static_cast<double>(number_.value()));
+        log_info("control", "configuration_in_force", "number=" + std::to_string(number_.value()));
+        std::set<service_name> moving;
+        for (const decide::move_rule& r : c->moves_)
+            moving.insert(r.service_);
+        watcher_.read_moves(moving);
+    }
+
+    void apply(const decide::watch_platform& a) { watcher_.watch(a.watch_); }
+
+    void apply(const decide::store_move& a)
+    {
+        log_info("control", "move_changed",
+                 "service=" + a.fact_.service_.str() + " version=" + a.fact_.version_.str() +
+                     " stage=" + std::to_string(a.fact_.stage_) + (a.fact_.done_ ? " done" : "") +
+                     (a.fact_.withdrawn_ ? " withdrawn" : ""));
+        watcher_.store_move(a.fact_);
+    }
+
+    void apply(const decide::report_problem& a)
+    {
+        const std::string text = to_string(a.error_);
+        if (std::find(problems_.begin(), problems_.end(), text) != problems_.end())
+            return;
+        log_warning("control", "problem", text);
+        problems_.push_back(text);
+        if (problems_.size() > problems_most)
+            problems_.erase(problems_.begin());
+    }
+
+    void serve_operator(http::exchange& e)
+    {
+        const std::string path = http::path_of(e.received().target_);
+        if (path == "/metrics")
+            return e.reply({200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_.exposition()});
+        if (path == "/status")
+            return e.reply({200,
+                            {{"Content-Type", "application/json"}},
+                            to_json(operators::make_status(control_, backend_.state(), problems_))});
+        e.reply({404, {}, "known are /metrics and /status\n"});
+    }
+
+    void tick()
+    {
+        apply(control_.handle(decide::control_tick{clock_.wall()}, clock_.now()));
+        control_timer_.arm(control_interval);
+    }
+
+    // New work stops, work in flight ends, then the process does.
+    void begin_stop()
+    {
+        if (stop_began_)
+            return;
+        stop_began_ = clock_.now();
+        log_info("daemon", "stopping");
+        caller_.stop_listening();
+        backend_.handle(decide::stop_requested{});
+        apply(control_.handle(decide::leave_requested{}, clock_.now()));
+        stop_timer_.arm(leave_notice);
+    }
+
+    void finish_stop()
+    {
+        const bool busy = backend_.busy() || caller_.busy();
+        if (!busy || clock_.now() - *stop_began_ > settings_.drain_timeout_)
+            return loop_.stop();
+        stop_timer_.arm(stop_check_interval);
+    }
+
+    operators::daemon_settings settings_;
+    incarnation started_;
+    daemon_name self_;
+    std::uint64_t seed_;
+    runtime_clock clock_;
+    event_loop loop_;
+    metrics metrics_;
+    decide::control control_;
+    mailbox<task_message> mail_;
+    peer::mesh mesh_;
+    backend::door backend_;
+    caller::door caller_;
+    platform::watcher watcher_;
+    http::server operators_;
+    timer control_timer_;
+    timer stop_timer_;
+    configuration_number number_;
+    std::vector<std::string> problems_;
+    std::optional<time_point> stop_began_;
+};
+
+int run(const std::string& path)
+{
+    const result<settings_file> file = settings_file::read(path);
+    if (!ok(file)) {
+        std::cerr << to_string(failure(file)) << " (" << remedy(failure(file).code_) << ")\n";
+        return faulty_settings;
+    }
+    const operators::parsed_settings parsed = operators::read_daemon_settings(value(file));
+    if (const auto* faults = std::get_if<std::vector<error>>(&parsed)) {
+        for (const error& e : *faults)
+            std::cerr << to_string(e) << " (" << remedy(e.code_) << ")\n";
+        return faulty_settings;
+    }
+    const auto& settings = std::get<operators::daemon_settings>(parsed);
+    start_logging(settings.log_level_);
+    daemon d(settings);
+    if (const status s = d.listen(); !ok(s)) {
+        std::cerr << to_string(failure(s)) << "\n";
+        return cannot_listen;
+    }
+    d.run();
+    return stopped;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    std::map<std::string, docopt::value> arguments;
+    try {
+        arguments = docopt::docopt_parse(usage, {argv + 1, argv + argc}, true, true);
+    }
+    catch (const docopt::DocoptExitHelp&) {
+        std::cout << usage;
+        return stopped;
+    }
+    catch (const docopt::DocoptExitVersion&) {
+        std::cout << "guavahaven-daemon " GUAVAHAVEN_VERSION "\n";
+        return stopped;
+    }
+    catch (const docopt::DocoptArgumentError& e) {
+        std::cerr << e.what() << "\n" << usage;
+        return wrong_usage;
+    }
+    return run(arguments.at("SETTINGS").asString());
+}
--- /dev/null
+++ b/src/main/guavahaven.cpp
@@ -0,0 +1,466 @@
+// guavahaven: the operators' command line.
+
+#include <docopt/docopt.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <thread>
+
+#include "operator/explain.h"
+#include "operator/publisher.h"
+#include "operator/rules.h"
+#include "operator/status.h"
+#include "operator/text_diff.h"
+
+namespace {
+
+using namespace guavahaven;
+using nlohmann::json;
+using arguments = std::map<std::string, docopt::value>;
+
+constexpr const char* usage =
+    R"(guavahaven: what every proxy of the mesh is to do, as written in one rules file.
+
+Usage:
+  guavahaven check FILE [--json]
+  guavahaven diff FILE --platform=ADDRESS [--json]
+  guavahaven apply FILE --platform=ADDRESS [--author=NAME] [--json]
+  guavahaven status --daemon=ADDRESS [--watch] [--json]
+  guavahaven explain METHOD PATH (--file=FILE | --platform=ADDRESS) [--header=NAME:VALUE]
+  guavahaven history --platform=ADDRESS [--count=N] [--json]
+  guavahaven (-h | --help)
+  guavahaven --version
+
+Commands:
+  check    Says whether a rules file can be applied; changes nothing.
+  diff     Shows what a rules file would change.
+  apply    Puts a rules file in force on every daemon.
+  status   Tells which daemons have the configuration, and how moves stand.
+  explain  Tells which rules decide for a request, and who asked for them.
+  history  Lists the last configurations: number, time, author.
+
+Options:
+  --platform=ADDRESS   IP:PORT of the platform's object API.
+  --daemon=ADDRESS     IP:PORT of the operator port of any daemon.
+  --author=NAME        Who applies it; the login name by default.
+  --header=NAME:VALUE  A header of the request to explain.
+  --count=N            How many configurations to list [default: 10].
+  --watch              Repeat every second until interrupted.
+  --json               Print JSON for scripts.
+  -h --help            Show this text.
+  --version            Show the version.
+
+Exit status: 0 done, 1 wrong usage, 2 the input was refused, 3 the platform or
+a daemon can't be reached, 4 another operator's change came first, 5 the mesh
+is not yet as the file says.
+)";
+
+enum exit_status { done = 0, wrong_usage = 1, refused = 2, unreachable = 3, conflict = 4, not_converged = 5 };
+
+constexpr duration call_timeout = std::chrono::seconds(2);
+
+int report(const error& e, int status)
+{
+    std::cerr << to_string(e);
+    if (!remedy(e.code_).empty())
+        std::cerr << " (" << remedy(e.code_) << ")";
+    std::cerr << "\n";
+    return status;
+}
+
+bool as_json(const arguments& args)
+{
+    return args.at("--json").asBool();
+}
+
+result<std::string> read_file(const std::string& path)
+{
+    std::ifstream in(path);
+    if (!in)
+        return error{code::rules_unreadable, path};
+    std::ostringstream text;
+    text << in.rdbuf();
+    return text.str();
+}
+
+// Runs an asynchronous operation to its end.
+template <class T>
+result<T> wait_for(event_loop& loop, const std::function<void(std::function<void(result<T>)>)>& operation)
+{
+    result<T> outcome = error{};
+    operation([&](result<T> r) {
+        outcome = std::move(r);
+        loop.stop();
+    });
+    loop.run();
+    return outcome;
+}
+
+// A connection to the platform for the length of one command.
+struct platform_session {
+    event_loop loop_;
+    platform::store store_;
+    operators::publisher publisher_;
+
+    explicit platform_session(const http::address& at) : store_(loop_, at), publisher_(store_) {}
+
+    result<operators::published> read()
+    {
+        return wait_for<operators::published>(loop_, [&](auto h) { publisher_.read(h); });
+    }
+};
+
+result<http::address> platform_of(const arguments& args)
+{
+    return http::parse_address(args.at("--platform").asString());
+}
+
+void print_faults(const std::string& path, const std::vector<operators::rules_fault>& faults, bool in_json)
+{
+    if (!in_json) {
+        for (const operators::rules_fault& f : faults)
+            std::cerr << operators::to_string(path, f) << "\n";
+        return;
+    }
+    json all = json::array();
+    for (const operators::rules_fault& f : faults)
+        all.push_back({{"line", f.line_},
+                       {"column", f.column_},
+                       {"code", number(f.error_.code_)},
+                       {"name", name(f.error_.code_)},
+                       {"detail", f.error_.detail_},
+                       {"remedy", remedy(f.error_.code_)}});
+    std::cout << json{{"valid", false}, {"faults", all}}.dump() << "\n";
+}
+
+// The checked text of a rules file; faults are printed.
+std::optional<decide::configuration> load_rules(const arguments& args, const std::string& path)
+{
+    const result<std::string> text = read_file(path);
+    if (!ok(text)) {
+        report(failure(text), refused);
+        return {};
+    }
+    operators::parsed_rules parsed = operators::parse_rules(value(text));
+    if (const auto* faults = std::get_if<std::vector<operators::rules_fault>>(&parsed)) {
+        print_faults(path, *faults, as_json(args));
+        return {};
+    }
+    return std::get<decide::configuration>(std::move(parsed));
+}
+
+int check(const arguments& args)
+{
+    const auto rules = load_rules(args, args.at("FILE").asString());
+    if (!rules)
+        return refused;
+    if (as_json(args))
+        std::cout << json{{"valid", true}}.dump() << "\n";
+    else
+        std::cout << "valid: " << rules->services_.size() << " services, " << rules->routes_.size()
+                  << " routes, " << rules->moves_.size() << " moves, " << rules->outs_.size()
+                  << " data centres out\n";
+    return done;
+}
+
+void print_changes(const std::vector<operators::changed_line>& changes)
+{
+    for (const operators::changed_line& c : changes)
+        std::cout << c.sign_ << " " << c.text_ << "\n";
+}
+
+int diff(const arguments& args)
+{
+    const auto rules = load_rules(args, args.at("FILE").asString());
+    if (!rules)
+        return refused;
+    const auto at = platform_of(args);
+    if (!ok(at))
+        return report(failure(at), wrong_usage);
+    const auto now = platform_session(value(at)).read();
+    if (!ok(now))
+        return report(failure(now), unreachable);
+    const auto changes = operators::difference(value(now).record_.text_, rules->text_);
+    if (!as_json(args)) {
+        print_changes(changes);
+        return done;
+    }
+    json lines = json::array();
+    for (const operators::changed_line& c : changes)
+        lines.push_back({{"sign", std::string(1, c.sign_)}, {"text", c.text_}});
+    std::cout << json{{"configuration", value(now).record_.number_.value()}, {"changes", lines}}.dump()
+              << "\n";
+    return done;
+}
+
+std::string author_of(const arguments& args)
+{
+    if (const docopt::value& named = args.at("--author"))
+        return named.asString();
+    const char* login = getlogin();
+    return login ? login : "unknown";
+}
+
+int apply(const arguments& args)
+{
+    const auto rules = load_rules(args, args.at("FILE").asString());
+    if (!rules)
+        return refused;
+    const auto at = platform_of(args);
+    if (!ok(at))
+        return report(failure(at), wrong_usage);
+    platform_session session(value(at));
+    const auto base = session.read();
+    if (!ok(base))
+        return report(failure(base), unreachable);
+    const auto outcome = wait_for<operators::publish_outcome>(session.loop_, [&](auto h) {
+        session.publisher_.publish(value(base), author_of(args), rules->text_, runtime_clock().wall(), h);
+    });
+    if (!ok(outcome))
+        return report(failure(outcome), unreachable);
+    const operators::publish_outcome& o = value(outcome);
+    if (as_json(args)) {
+        std::cout << json{{"accepted", o.written_},
+                          {"configuration", o.now_.record_.number_.value()},
+                          {"author", o.now_.record_.author_}}
+                         .dump()
+                  << "\n";
+        return o.written_ ? done : conflict;
+    }
+    if (o.written_) {
+        std::cout << "accepted as configuration " << o.now_.record_.number_.value() << "\n";
+        return done;
+    }
+    std::cout << "not applied: " << o.winner_->record_.author_ << " applied configuration "
+              << o.winner_->record_.number_.value() << " first; what differs from yours:\n";
+    print_changes(operators::difference(o.winner_->record_.text_, rules->text_));
+    return conflict;
+}
+
+result<http::response> fetch(event_loop& loop, const http::address& at, const std::string& target)
+{
+    http::client client(loop, at, 1, {code::peer_unreachable, http::to_string(at)});
+    return wait_for<http::response>(loop, [&](auto h) {
+        client.send({"GET", target, {}, ""}, call_timeout, std::move(h));
+    });
+}
+
+result<operators::daemon_status> fetch_status(event_loop& loop, const http::address& at)
+{
+    const auto got = fetch(loop, at, "/status");
+    if (!ok(got))
+        return failure(got);
+    return operators::parse_status(value(got).body_);
+}
+
+// What every daemon says of itself; the daemons that could not be asked are missing.
+struct mesh_status {
+    operators::daemon_status asked_;
+    std::vector<operators::daemon_status> daemons_;
+    std::vector<std::string> silent_; // names
+    std::uint64_t newest_ = 0;        // highest configuration seen
+};
+
+mesh_status ask_all(event_loop& loop, const operators::daemon_status& first)
+{
+    mesh_status all{first, {first}, {}, first.configuration_};
+    for (const operators::member_report& m : first.members_) {
+        if (m.name_ == first.name_ || m.state_ == "left" || m.state_ == "dead")
+            continue;
+        const auto at = http::parse_address(m.operator_address_);
+        const auto got =
+            ok(at) ? fetch_status(loop, value(at)) : result<operators::daemon_status>(failure(at));
+        if (!ok(got)) {
+            all.silent_.push_back(m.name_);
+            continue;
+        }
+        all.daemons_.push_back(value(got));
+        all.newest_ = std::max(all.newest_, value(got).configuration_);
+    }
+    return all;
+}
+
+std::size_t count_current(const mesh_status& all)
+{
+    const auto current = [&](const operators::daemon_status& d) { return d.configuration_ == all.newest_; };
+    return static_cast<std::size_t>(std::count_if(all.daemons_.begin(), all.daemons_.end(), current));
+}
+
+void print_status(const mesh_status& all)
+{
+    const std::size_t total = all.daemons_.size() + all.silent_.size();
+    std::cout << "configuration " << all.newest_ << " in force on " << count_current(all) << " of " << total
+              << " daemons\n";
+    for (const operators::daemon_status& d : all.daemons_) {
+        if (d.configuration_ != all.newest_)
+            std::cout << "  behind   " << d.name_ << " (" << d.data_center_ << ") has " << d.configuration_
+                      << "\n";
+        for (const std::string& problem : d.problems_)
+            std::cout << "  problem  " << d.name_ << ": " << problem << "\n";
+    }
+    for (const std::string& name : all.silent_)
+        std::cout << "  silent   " << name << "\n";
+    for (const operators::move_report& m : all.asked_.moves_) {
+        std::cout << "move " << m.service_ << " to " << m.version_ << ": " << m.state_ << ", share "
+                  << m.share_ * 100 << "%" << (m.reason_.empty() ? "" : " (" + m.reason_ + ")") << "  # "
+                  << m.asked_by_ << "\n";
+    }
+    for (const operators::out_report& o : all.asked_.outs_)
+        std::cout << "out " << o.data_center_ << "  # " << o.asked_by_ << "\n";
+}
+
+int status_once(const arguments& args, const http::address& at)
+{
+    event_loop loop;
+    const auto first = fetch_status(loop, at);
+    if (!ok(first))
+        return report(failure(first), unreachable);
+    const mesh_status all = ask_all(loop, value(first));
+    const std::size_t total = all.daemons_.size() + all.silent_.size();
+    const bool converged = count_current(all) == total;
+    if (!as_json(args)) {
+        print_status(all);
+        return converged ? done : not_converged;
+    }
+    json j = json::parse(operators::to_json(all.asked_));
+    j["newest_configuration"] = all.newest_;
+    j["daemons"] = total;
+    j["daemons_current"] = count_current(all);
+    j["silent"] = all.silent_;
+    std::cout << j.dump() << "\n";
+    return converged ? done : not_converged;
+}
+
+int status(const arguments& args)
+{
+    const auto at = http::parse_address(args.at("--daemon").asString());
+    if (!ok(at))
+        return report(failure(at), wrong_usage);
+    while (args.at("--watch").asBool()) {
+        if (isatty(STDOUT_FILENO))
+            std::cout << "\033[2J\033[H"; // clears the screen
+        status_once(args, value(at));
+        std::cout << std::flush;
+        std::this_thread::sleep_for(std::chrono::seconds(1));
+    }
+    return status_once(args, value(at));
+}
+
+int explain(const arguments& args)
+{
+    http::request request{args.at("METHOD").asString(), args.at("PATH").asString(), {}, ""};
+    if (const docopt::value& given = args.at("--header")) {
+        const std::string pair = given.asString();
+        const std::size_t colon = std::min(pair.find(':'), pair.size());
+        request.headers_.push_back({pair.substr(0, colon), pair.substr(std::min(colon + 1, pair.size()))});
+    }
+    std::optional<decide::configuration> rules;
+    if (args.at("--file")) {
+        rules = load_rules(args, args.at("--file").asString());
+        if (!rules)
+            return refused;
+    }
+    else {
+        const auto at = platform_of(args);
+        if (!ok(at))
+            return report(failure(at), wrong_usage);
+        const auto now = platform_session(value(at)).read();
+        if (!ok(now))
+            return report(failure(now), unreachable);
+        const auto parsed = operators::parse_record(value(now).record_);
+        if (!ok(parsed))
+            return report(failure(parsed), refused);
+        rules = value(parsed);
+    }
+    const auto text = operators::explain(*rules, request);
+    if (!ok(text))
+        return report(failure(text), refused);
+    std::cout << value(text);
+    return done;
+}
+
+std::string utc(std::uint64_t microseconds)
+{
+    const std::time_t seconds = static_cast<std::time_t>(microseconds / 1'000'000);
+    std::tm fields{};
+    gmtime_r(&seconds, &fields);
+    char text[32];
+    const std::size_t length = std::strftime(text, sizeof text, "%Y-%m-%dT%H:%M:%SZ", &fields);
+    return {text, length};
+}
+
+int history(const arguments& args)
+{
+    const auto at = platform_of(args);
+    if (!ok(at))
+        return report(failure(at), wrong_usage);
+    platform_session session(value(at));
+    const auto now = session.read();
+    if (!ok(now))
+        return report(failure(now), unreachable);
+    json all = json::array();
+    long left = args.at("--count").asLong();
+    for (std::uint64_t n = value(now).record_.number_.value(); n > 0 && left > 0; --n, --left) {
+        const auto past = wait_for<decide::configuration_record>(
+            session.loop_, [&](auto h) { session.publisher_.read_past(configuration_number(n), h); });
+        if (!ok(past))
+            continue; // the writer ended before it could keep this one
+        const decide::configuration_record& r = value(past);
+        all.push_back({{"configuration", n}, {"written_at", utc(r.written_at_)}, {"author", r.author_}});
+    }
+    if (as_json(args)) {
+        std::cout << all.dump() << "\n";
+        return done;
+    }
+    for (const json& line : all)
+        std::cout << line["configuration"] << "  " << line["written_at"].get<std::string>() << "  "
+                  << line["author"].get<std::string>() << "\n";
+    return done;
+}
+
+int dispatch(const arguments& args)
+{
+    struct command {
+        const char* name_;
+        int (*run_)(const arguments&);
+    };
+    constexpr command commands[] = {{"check", check},   {"diff", diff},       {"apply", apply},
+                                    {"status", status}, {"explain", explain}, {"history", history}};
+    for (const command& c : commands)
+        if (args.at(c.name_).asBool())
+            return c.run_(args);
+    return wrong_usage;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    arguments args;
+    try {
+        args = docopt::docopt_parse(usage, {argv + 1, argv + argc}, true, true);
+    }
+    catch (const docopt::DocoptExitHelp&) {
+        std::cout << usage;
+        return done;
+    }
+    catch (const docopt::DocoptExitVersion&) {
+        std::cout << "guavahaven " GUAVAHAVEN_VERSION "\n";
+        return done;
+    }
+    catch (const docopt::DocoptArgumentError& e) {
+        std::cerr << e.what() << "\n" << usage;
+        return wrong_usage;
+    }
+    try {
+        return dispatch(args);
+    }
+    catch (const std::exception& e) {
+        std::cerr << e.what() << "\n";
+        return wrong_usage;
+    }
+}
--- /dev/null
+++ b/src/operator/daemon_settings.cpp
@@ -0,0 +1,56 @@
+#include "operator/daemon_settings.h"
+
+#include <sstream>
+
+namespace guavahaven::operators {
+
+namespace {
+
+constexpr std::uint64_t port_most = 65'535;
+
+http::address read_address(settings_file& file, const std::string& ip, const std::string& key)
+{
+    return {ip, static_cast<std::uint16_t>(file.integer(key, {}, 1, port_most))};
+}
+
+} // namespace
+
+parsed_settings read_daemon_settings(settings_file file)
+{
+    daemon_settings s;
+    std::vector<error> more;
+    const auto parse = [&](const std::string& key, const std::string& text) {
+        const result<http::address> a = http::parse_address(text);
+        if (!ok(a))
+            more.push_back({code::settings_bad_value, key + ": " + failure(a).detail_});
+        return ok(a) ? value(a) : http::address{};
+    };
+
+    s.data_center_ = data_center_name(file.text("daemon.data_center"));
+    const std::string ip = file.text("daemon.ip");
+    s.callers_ = read_address(file, ip, "daemon.caller_port");
+    s.peers_ = read_address(file, ip, "daemon.peer_port");
+    s.backend_ = read_address(file, ip, "daemon.backend_port");
+    s.operators_ = read_address(file, ip, "daemon.operator_port");
+    s.drain_timeout_ = file.milliseconds("daemon.drain_timeout_ms", 30'000, 0, 3'600'000);
+    s.announcement_timeout_ = file.milliseconds("backend.announcement_timeout_ms", 3'000, 100, 600'000);
+    s.log_level_ = file.text("log.level", "info");
+    if (s.log_level_ != "info" && s.log_level_ != "warn" && s.log_level_ != "error" &&
+        s.log_level_ != "debug")
+        more.push_back({code::settings_bad_value, "log.level: expected error, warn, info or debug"});
+    s.platform_ = parse("platform.address", file.text("platform.address"));
+    s.advertised_ = parse("mesh.advertised", file.text("mesh.advertised", http::to_string(s.peers_)));
+    std::istringstream seeds(file.text("mesh.seeds", ""));
+    for (std::string seed; seeds >> seed;) {
+        parse("mesh.seeds", seed);
+        s.seeds_.emplace_back(seed);
+    }
+
+    std::vector<error> faults = file.finish();
+    faults.insert(faults.end(), more.begin(), more.end());
+    if (!faults.empty())
+        return faults;
+    return s;
+}
+
+} // namespace guavahaven::operators
--- /dev/null
+++ b/src/operator/publisher.cpp
@@ -0,0 +1,81 @@
+#include "operator/publisher.h"
+
+#include "platform/objects.h"
+
+namespace guavahaven::operators {
+
+namespace {
+
+constexpr int settle_tries = 5; // reads after a write whose answer was lost
+
+} // namespace
+
+void publisher::read(std::function<void(result<published>)> handler)
+{
+    store_.get(platform::configuration_kind, platform::current_name,
+               [handler = std::move(handler)](const result<platform::object>& found) {
+                   if (!ok(found) && failure(found).code_ == code::platform_not_found)
+                       return handler(published{});
+                   if (!ok(found))
+                       return handler(failure(found));
+                   const auto record = platform::to_record(value(found).bytes_);
+                   if (!ok(record))
+                       return handler(failure(record));
+                   handler(published{value(found).version_, value(record)});
+               });
+}
+
+void publisher::publish(const published& base, const std::string& author, const std::string& text,
+                        wall_time now, std::function<void(result<publish_outcome>)> handler)
+{
+    decide::configuration_record ours;
+    ours.number_ = base.record_.number_.next();
+    ours.author_ = author;
+    ours.written_at_ = static_cast<std::uint64_t>(now.time_since_epoch().count());
+    ours.text_ = text;
+    const auto written = [this, ours, handler](const result<std::uint64_t>& r) {
+        if (!ok(r))
+            return settle(ours, settle_tries, handler);
+        keep_past(ours, [=, version = value(r)] { handler(publish_outcome{{version, ours}, true, {}}); });
+    };
+    store_.put(platform::configuration_kind, platform::current_name, platform::to_bytes(ours),
+               base.object_version_, written);
+}
+
+// The write was refused, or its answer was lost: what the platform holds now tells which.
+void publisher::settle(const decide::configuration_record& ours, int tries_left,
+                       std::function<void(result<publish_outcome>)> handler)
+{
+    read([=, this](const result<published>& found) {
+        if (!ok(found)) {
+            if (tries_left <= 1)
+                return handler(failure(found));
+            return settle(ours, tries_left - 1, handler);
+        }
+        const published& now = value(found);
+        if (now.record_ == ours)
+            return keep_past(ours, [=] { handler(publish_outcome{now, true, {}}); });
+        if (now.record_.number_ < ours.number_)
+            return handler(error{code::platform_unreachable, "the write did not take effect"});
+        handler(publish_outcome{now, false, now});
+    });
+}
+
+void publisher::keep_past(const decide::configuration_record& record, std::function<void()> handler)
+{
+    store_.put(platform::history_kind, std::to_string(record.number_.value()), platform::to_bytes(record), 0,
+               [handler = std::move(handler)](const result<std::uint64_t>&) { handler(); });
+}
+
+void publisher::read_past(configuration_number number,
+                          std::function<void(result<decide::configuration_record>)> handler)
+{
+    store_.get(platform::history_kind, std::to_string(number.value()),
+               [handler = std::move(handler)](const result<platform::object>& found) {
+                   if (!ok(found))
+                       return handler(failure(found));
+                   handler(platform::to_record(value(found).bytes_));
+               });
+}
+
+} // namespace guavahaven::operators
--- /dev/null
+++ b/src/operator/rules.cpp
@@ -0,0 +1,504 @@
+#include "operator/rules.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <iomanip>
+#include <optional>
+#include <set>
+#include <sstream>
+
+#include "decide/routing.h"
+
+namespace guavahaven::operators {
+
+namespace {
+
+using namespace decide;
+
+struct word {
+    std::string text_;
+    int column_ = 0; // from 1
+};
+
+// A line that can't be understood, with the column of the offending word.
+struct syntax_error {
+    int column_ = 0;
+    error error_;
+};
+
+std::vector<word> split_words(const std::string& line)
+{
+    std::vector<word> words;
+    std::size_t at = 0;
+    while (true) {
+        at = line.find_first_not_of(" \t\r", at);
+        if (at == std::string::npos)
+            return words;
+        const std::size_t end = std::min(line.find_first_of(" \t\r", at), line.size());
+        words.push_back({line.substr(at, end - at), static_cast<int>(at) + 1});
+        at = end;
+    }
+}
+
+std::string trimmed(const std::string& text)
+{
+    const std::size_t first = text.find_first_not_of(" \t\r");
+    if (first == std::string::npos)
+        return "";
+    return text.substr(first, text.find_last_not_of(" \t\r") - first + 1);
+}
+
+std::optional<double> to_number(const std::string& text)
+{
+    double number = 0;
+    const char* end = text.data() + text.size();
+    const auto [stop, failed] = std::from_chars(text.data(), end, number);
+    if (failed != std::errc() || stop != end || !std::isfinite(number))
+        return {};
+    return number;
+}
+
+// Reads the words of one line in order. The first fault is kept; later reads
+// then yield defaults, and the caller asks failed() once at the end.
+class line_reader {
+public:
+    explicit line_reader(std::vector<word> words) : words_(std::move(words)) {}
+
+    bool done() const { return at_ >= words_.size() || fault_; }
+    const std::optional<syntax_error>& failed() const { return fault_; }
+
+    void fail(code c, const std::string& detail)
+    {
+        if (fault_)
+            return;
+        const word& last = words_.back();
+        const int end = last.column_ + static_cast<int>(last.text_.size());
+        fault_ = syntax_error{at_ < words_.size() ? words_[at_].column_ : end, {c, detail}};
+    }
+    std::string next(const std::string& what)
+    {
+        if (at_ >= words_.size() || fault_) {
+            fail(code::rules_syntax, "expected " + what);
+            return "";
+        }
+        return words_[at_++].text_;
+    }
+    bool accept(const std::string& keyword)
+    {
+        if (done() || words_[at_].text_ != keyword)
+            return false;
+        ++at_;
+        return true;
+    }
+    void expect(const std::string& keyword)
+    {
+        if (!accept(keyword))
+            fail(code::rules_syntax, "expected '" + keyword + "'");
+    }
+    std::string name(const std::string& what)
+    {
+        const std::string text = next(what);
+        const auto good = [](unsigned char c) { return std::isalnum(c) || c == '-' || c == '_' || c == '.'; };
+        if (!fault_ && !std::all_of(text.begin(), text.end(), good))
+            reject(what + " may hold letters, digits, '-', '_' and '.' only");
+        return text;
+    }
+    // "400ms", "2s", "10m", "1h"
+    duration wait(const std::string& what)
+    {
+        const std::string text = next(what + " such as 400ms, 2s or 10m");
+        const std::size_t unit_at = std::min(text.find_first_not_of("0123456789"), text.size());
+        const auto count = to_number(text.substr(0, unit_at));
+        const std::string unit = text.substr(unit_at);
+        std::int64_t scale = 0; // microseconds
+        if (unit == "ms")
+            scale = 1'000;
+        else if (unit == "s")
+            scale = 1'000'000;
+        else if (unit == "m")
+            scale = 60'000'000;
+        else if (unit == "h")
+            scale = 3'600'000'000;
+        constexpr double hours_most = 24;
+        const double total = count.value_or(0) * static_cast<double>(scale);
+        if (!fault_ && (!count || scale == 0 || total <= 0 || total > hours_most * 3.6e9))
+            reject(what + " must be a time above 0 and up to 24h, such as 400ms, 2s or 10m");
+        return fault_ ? duration{} : duration(static_cast<std::int64_t>(total));
+    }
+    // "10%" as 0.1
+    double share(const std::string& what)
+    {
+        const std::string text = next(what + " such as 10%");
+        const bool percent = !text.empty() && text.back() == '%';
+        const auto count = percent ? to_number(text.substr(0, text.size() - 1)) : std::nullopt;
+        if (!fault_ && (!count || *count < 0 || *count > 100))
+            reject(what + " must be from 0% to 100%");
+        return fault_ ? 0 : *count / 100;
+    }
+    std::uint64_t count(const std::string& what, std::uint64_t least, std::uint64_t most)
+    {
+        const std::string text = next(what);
+        const auto number = to_number(text);
+        const bool whole = number && *number == std::floor(*number);
+        if (!fault_ &&
+            (!whole || *number < static_cast<double>(least) || *number > static_cast<double>(most)))
+            reject(what + " must be a whole number from " + std::to_string(least) + " to " +
+                   std::to_string(most));
+        return fault_ ? 0 : static_cast<std::uint64_t>(*number);
+    }
+    // "2026-12-05T18:00Z", with or without seconds
+    wall_time moment(const std::string& what)
+    {
+        const std::string text = next(what + " such as 2026-12-05T18:00Z");
+        if (fault_)
+            return {};
+        for (const char* form : {"%Y-%m-%dT%H:%M:%SZ", "%Y-%m-%dT%H:%MZ"}) {
+            std::tm fields{};
+            std::istringstream in(text);
+            in >> std::get_time(&fields, form);
+            if (!in.fail() && in.peek() == std::char_traits<char>::eof())
+                return wall_time(std::chrono::seconds(timegm(&fields)));
+        }
+        reject(what + " must be a time in UTC such as 2026-12-05T18:00Z");
+        return {};
+    }
+    // Faults the word read last.
+    void reject(const std::string& detail)
+    {
+        if (fault_)
+            return;
+        --at_;
+        fail(code::rules_bad_value, detail);
+    }
+
+private:
+    std::vector<word> words_;
+    std::size_t at_ = 0;
+    std::optional<syntax_error> fault_;
+};
+
+class_rule read_class(line_reader& in)
+{
+    class_rule r;
+    r.name_ = class_name(in.name("a class name"));
+    in.expect("deadline");
+    r.deadline_ = in.wait("the deadline");
+    while (!in.done()) {
+        if (in.accept("shed")) {
+            if (in.accept("first"))
+                r.shed_ = shed_order::first;
+            else if (in.accept("last"))
+                r.shed_ = shed_order::last;
+            else
+                in.fail(code::rules_syntax, "expected 'first' or 'last'");
+        }
+        else if (in.accept("once"))
+            r.once_ = true;
+        else if (in.accept("keep"))
+            r.keep_ = true;
+        else if (in.accept("weight"))
+            r.weight_ = static_cast<std::uint32_t>(in.count("the weight", 1, 1000));
+        else
+            in.fail(code::rules_syntax, "expected 'shed first', 'shed last', 'once', 'keep' or 'weight N'");
+    }
+    return r;
+}
+
+service_rule read_service(line_reader& in)
+{
+    service_rule r;
+    r.name_ = service_name(in.name("a service name"));
+    in.expect("version");
+    r.version_ = version_name(in.name("a version"));
+    return r;
+}
+
+route_rule read_route(line_reader& in)
+{
+    route_rule r;
+    r.method_ = in.next("a method or *");
+    static const std::set<std::string> methods{"GET",    "HEAD",  "POST",    "PUT",
+                                               "DELETE", "PATCH", "OPTIONS", "*"};
+    if (!methods.contains(r.method_))
+        in.reject("unknown method '" + r.method_ + "'");
+    r.path_ = in.next("a path");
+    if (r.path_.empty() || r.path_.front() != '/')
+        in.reject("a path starts with '/'");
+    if (r.path_.ends_with("/*")) {
+        r.prefix_ = true;
+        r.path_.resize(r.path_.size() - 2);
+    }
+    if (in.accept("header")) {
+        const std::string pair = in.next("NAME=VALUE");
+        const std::size_t equals = pair.find('=');
+        if (equals == std::string::npos || equals == 0)
+            in.reject("expected NAME=VALUE");
+        else
+            r.header_ = header_match{pair.substr(0, equals), pair.substr(equals + 1)};
+    }
+    in.expect("to");
+    r.service_ = service_name(in.name("a service name"));
+    in.expect("as");
+    r.class_ = class_name(in.name("a class name"));
+    return r;
+}
+
+split_rule read_split(line_reader& in)
+{
+    split_rule r;
+    r.service_ = service_name(in.name("a service name"));
+    double sum = 0;
+    do {
+        version_share part;
+        part.version_ = version_name(in.name("a version"));
+        part.share_ = in.share("the share");
+        sum += part.share_;
+        r.shares_.push_back(part);
+    } while (!in.done());
+    constexpr double tolerance = 1e-6;
+    if (std::abs(sum - 1) > tolerance)
+        in.reject("the shares must add up to 100%");
+    return r;
+}
+
+limit_rule read_limit(line_reader& in)
+{
+    limit_rule r;
+    r.service_ = service_name(in.name("a service name"));
+    if (in.accept("class"))
+        r.class_ = class_name(in.name("a class name"));
+    r.count_ = in.count("the limit", 0, 1'000'000'000);
+    if (in.accept("per")) {
+        in.expect("second");
+        r.unit_ = limit_unit::per_second;
+        return r;
+    }
+    in.expect("at");
+    in.expect("once");
+    r.unit_ = limit_unit::at_once;
+    return r;
+}
+
+retry_rule read_retry(line_reader& in)
+{
+    retry_rule r;
+    r.service_ = service_name(in.name("a service name"));
+    in.expect("budget");
+    r.budget_ = in.share("the budget");
+    if (in.accept("attempts"))
+        r.attempts_ = static_cast<std::uint32_t>(in.count("the attempts", 1, 10));
+    return r;
+}
+
+move_rule read_move(line_reader& in)
+{
+    move_rule r;
+    r.service_ = service_name(in.name("a service name"));
+    in.expect("to");
+    r.version_ = version_name(in.name("a version"));
+    in.expect("by");
+    r.deadline_ = in.moment("the deadline");
+    if (in.accept("from"))
+        r.start_share_ = in.share("the first share");
+    return r;
+}
+
+out_rule read_out(line_reader& in)
+{
+    out_rule r;
+    r.data_center_ = data_center_name(in.name("a data centre"));
+    return r;
+}
+
+class rules_reader {
+public:
+    parsed_rules read(const std::string& text)
+    {
+        if (text.size() > rules_most) {
+            fault({0, 0, {code::rules_too_large, "more than " + std::to_string(rules_most) + " bytes"}});
+            return faults_;
+        }
+        std::istringstream lines(text);
+        std::string line;
+        for (int number = 1; std::getline(lines, line); ++number)
+            read_line(number, line);
+        check_names();
+        check_repeats();
+        check_routes();
+        if (!faults_.empty()) {
+            std::stable_sort(faults_.begin(), faults_.end(),
+                             [](const rules_fault& a, const rules_fault& b) { return a.line_ < b.line_; });
+            return faults_;
+        }
+        rules_.text_ = text;
+        rules_.hash_ = hash_of(text);
+        return rules_;
+    }
+
+private:
+    void fault(rules_fault f) { faults_.push_back(std::move(f)); }
+
+    void read_line(int number, const std::string& line)
+    {
+        const std::size_t mark = line.find('#');
+        const std::vector<word> words = split_words(line.substr(0, mark));
+        if (words.empty())
+            return; // blank, or a comment of its own
+        const std::string comment = mark == std::string::npos ? "" : trimmed(line.substr(mark + 1));
+        if (comment.empty())
+            fault({number,
+                   static_cast<int>(std::min(line.size(), mark)) + 1,
+                   {code::rules_missing_comment, "who asked for this rule?"}});
+        const origin from{number, comment};
+        line_reader in(words);
+        const std::string kind = in.next("a rule");
+        read_rule(kind, in, from);
+        if (!in.done())
+            in.fail(code::rules_syntax, "the rule should end here");
+        if (const auto& f = in.failed())
+            fault({number, f->column_, f->error_});
+    }
+
+    template <class Rule>
+    static void keep(std::vector<Rule>& rules, Rule rule, const origin& from)
+    {
+        rule.origin_ = from;
+        rules.push_back(std::move(rule));
+    }
+
+    void read_rule(const std::string& kind, line_reader& in, const origin& from)
+    {
+        if (kind == "class")
+            keep(rules_.classes_, read_class(in), from);
+        else if (kind == "service")
+            keep(rules_.services_, read_service(in), from);
+        else if (kind == "route")
+            keep(rules_.routes_, read_route(in), from);
+        else if (kind == "split")
+            keep(rules_.splits_, read_split(in), from);
+        else if (kind == "limit")
+            keep(rules_.limits_, read_limit(in), from);
+        else if (kind == "retry")
+            keep(rules_.retries_, read_retry(in), from);
+        else if (kind == "move")
+            keep(rules_.moves_, read_move(in), from);
+        else if (kind == "out")
+            keep(rules_.outs_, read_out(in), from);
+        else
+            in.reject("unknown rule '" + kind +
+                      "'; known are class, service, route, split, limit, retry, move, out");
+    }
+
+    void need_service(const service_name& name, const origin& from)
+    {
+        if (!rules_.find_service(name))
+            fault({from.line_, 0, {code::rules_unknown_service, "'" + name.str() + "'"}});
+    }
+
+    void check_names()
+    {
+        for (const route_rule& r : rules_.routes_) {
+            need_service(r.service_, r.origin_);
+            if (!rules_.find_class(r.class_))
+                fault({r.origin_.line_, 0, {code::rules_unknown_class, "'" + r.class_.str() + "'"}});
+        }
+        for (const split_rule& r : rules_.splits_)
+            need_service(r.service_, r.origin_);
+        for (const limit_rule& r : rules_.limits_) {
+            need_service(r.service_, r.origin_);
+            if (r.class_ && !rules_.find_class(*r.class_))
+                fault({r.origin_.line_, 0, {code::rules_unknown_class, "'" + r.class_->str() + "'"}});
+        }
+        for (const retry_rule& r : rules_.retries_)
+            need_service(r.service_, r.origin_);
+        for (const move_rule& r : rules_.moves_)
+            need_service(r.service_, r.origin_);
+    }
+
+    template <class Rules, class Key>
+    void check_repeats(const Rules& rules, const char* kind, Key key)
+    {
+        std::set<std::string> seen;
+        for (const auto& r : rules)
+            if (!seen.insert(key(r)).second)
+                fault({r.origin_.line_,
+                       0,
+                       {code::rules_duplicate,
+                        std::string("a second ") + kind + " line for '" + key(r) + "'"}});
+    }
+
+    void check_repeats()
+    {
+        check_repeats(rules_.classes_, "class", [](const class_rule& r) { return r.name_.str(); });
+        check_repeats(rules_.services_, "service", [](const service_rule& r) { return r.name_.str(); });
+        check_repeats(rules_.splits_, "split", [](const split_rule& r) { return r.service_.str(); });
+        check_repeats(rules_.retries_, "retry", [](const retry_rule& r) { return r.service_.str(); });
+        check_repeats(rules_.moves_, "move", [](const move_rule& r) { return r.service_.str(); });
+        check_repeats(rules_.outs_, "out", [](const out_rule& r) { return r.data_center_.str(); });
+        check_repeats(rules_.limits_, "limit", [](const limit_rule& r) {
+            return r.service_.str() + (r.class_ ? " class " + r.class_->str() : "") +
+                   (r.unit_ == limit_unit::per_second ? " per second" : " at once");
+        });
+    }
+
+    // Two routes that can match one request must differ in how specific they are.
+    void check_routes()
+    {
+        for (std::size_t i = 0; i < rules_.routes_.size(); ++i) {
+            for (std::size_t j = 0; j < i; ++j) {
+                const route_rule& a = rules_.routes_[i];
+                const route_rule& b = rules_.routes_[j];
+                if (!can_overlap(a, b) || more_specific(a, b) || more_specific(b, a))
+                    continue;
+                fault({a.origin_.line_,
+                       0,
+                       {code::rules_ambiguous_route,
+                        "as specific as line " + std::to_string(b.origin_.line_)}});
+            }
+        }
+    }
+
+    static bool can_overlap(const route_rule& a, const route_rule& b)
+    {
+        const bool methods = a.method_ == b.method_ || a.method_ == "*" || b.method_ == "*";
+        const bool headers = !a.header_ || !b.header_ || a.header_->name_ != b.header_->name_ ||
+                             a.header_->value_ == b.header_->value_;
+        // Paths of different length never tie, so only equal ones matter here.
+        return methods && headers && a.prefix_ == b.prefix_ && a.path_ == b.path_;
+    }
+
+    configuration rules_;
+    std::vector<rules_fault> faults_;
+};
+
+} // namespace
+
+std::string to_string(const std::string& file, const rules_fault& fault)
+{
+    std::string place = file;
+    if (fault.line_ > 0)
+        place += ":" + std::to_string(fault.line_);
+    if (fault.column_ > 0)
+        place += ":" + std::to_string(fault.column_);
+    return place + ": " + guavahaven::to_string(fault.error_) + " (" +
+           std::string(remedy(fault.error_.code_)) + ")";
+}
+
+parsed_rules parse_rules(const std::string& text)
+{
+    return rules_reader().read(text);
+}
+
+result<decide::configuration> parse_record(const decide::configuration_record& record)
+{
+    parsed_rules parsed = parse_rules(record.text_);
+    if (const auto* faults = std::get_if<std::vector<rules_fault>>(&parsed))
+        return error{faults->front().error_.code_,
+                     to_string("configuration " + std::to_string(record.number_.value()), faults->front())};
+    decide::configuration c = std::get<decide::configuration>(std::move(parsed));
+    c.number_ = record.number_;
+    return c;
+}
+
+} // namespace guavahaven::operators
--- /dev/null
+++ b/src/peer/layouts.h
@@ -0,0 +1,83 @@
+#pragma once
+
+// Field order of each message on the wire. Adding, removing or reordering a
+// field raises peer::protocol_version.
+
+#include <tuple>
+
+#include "base/serialize.h"
+#include "peer/message.h"
+
+#define GUAVAHAVEN_LAYOUT(TYPE, ...)                                                                         \
+    template <>                                                                                              \
+    struct layout<TYPE> {                                                                                    \
+        static auto fields(auto& v)                                                                          \
+        {                                                                                                    \
+            return std::apply([&](auto... m) { return std::tie((v.*m)...); }, std::tuple{__VA_ARGS__});      \
+        }                                                                                                    \
+    }
+#define GUAVAHAVEN_ENUM(TYPE, MOST)                                                                          \
+    template <>                                                                                              \
+    struct layout<TYPE> {                                                                                    \
+        static constexpr TYPE most = TYPE::MOST;                                                             \
+    }
+
+namespace guavahaven {
+
+GUAVAHAVEN_ENUM(code, answer_incomplete);
+GUAVAHAVEN_ENUM(decide::fate, ran);
+GUAVAHAVEN_ENUM(decide::member_state, dead);
+
+GUAVAHAVEN_LAYOUT(http::header, &http::header::name_, &http::header::value_);
+GUAVAHAVEN_LAYOUT(http::request, &http::request::method_, &http::request::target_, &http::request::headers_,
+                  &http::request::body_);
+GUAVAHAVEN_LAYOUT(http::response, &http::response::status_, &http::response::headers_,
+                  &http::response::body_);
+GUAVAHAVEN_LAYOUT(http::address, &http::address::ip_, &http::address::port_);
+
+GUAVAHAVEN_LAYOUT(decide::call_id, &decide::call_id::entry_, &decide::call_id::sequence_);
+GUAVAHAVEN_LAYOUT(decide::load_report, &decide::load_report::in_flight_, &decide::load_report::queued_,
+                  &decide::load_report::limit_);
+GUAVAHAVEN_LAYOUT(decide::call, &decide::call::id_, &decide::call::identity_, &decide::call::once_,
+                  &decide::call::service_, &decide::call::version_, &decide::call::class_,
+                  &decide::call::route_, &decide::call::configuration_, &decide::call::remaining_,
+                  &decide::call::depth_, &decide::call::request_);
+GUAVAHAVEN_LAYOUT(decide::receipt, &decide::receipt::id_);
+GUAVAHAVEN_LAYOUT(decide::answer, &decide::answer::id_, &decide::answer::load_, &decide::answer::response_,
+                  &decide::answer::complete_);
+GUAVAHAVEN_LAYOUT(decide::answer_part, &decide::answer_part::id_, &decide::answer_part::bytes_,
+                  &decide::answer_part::complete_);
+GUAVAHAVEN_LAYOUT(decide::refusal, &decide::refusal::id_, &decide::refusal::code_, &decide::refusal::load_);
+GUAVAHAVEN_LAYOUT(decide::broken, &decide::broken::id_, &decide::broken::code_, &decide::broken::load_);
+GUAVAHAVEN_LAYOUT(decide::cancel, &decide::cancel::id_);
+GUAVAHAVEN_LAYOUT(decide::fence, &decide::fence::id_);
+GUAVAHAVEN_LAYOUT(decide::fence_verdict, &decide::fence_verdict::id_, &decide::fence_verdict::fate_);
+
+GUAVAHAVEN_LAYOUT(decide::member, &decide::member::name_, &decide::member::incarnation_,
+                  &decide::member::revision_, &decide::member::state_, &decide::member::data_center_,
+                  &decide::member::peer_, &decide::member::operator_, &decide::member::service_,
+                  &decide::member::version_, &decide::member::slots_);
+GUAVAHAVEN_LAYOUT(decide::announcements, &decide::announcements::members_);
+GUAVAHAVEN_LAYOUT(decide::digest, &decide::digest::members_, &decide::digest::moves_,
+                  &decide::digest::configuration_, &decide::digest::configuration_hash_,
+                  &decide::digest::answer_wanted_);
+GUAVAHAVEN_LAYOUT(decide::configuration_wanted, &decide::configuration_wanted::above_);
+GUAVAHAVEN_LAYOUT(decide::configuration_record, &decide::configuration_record::number_,
+                  &decide::configuration_record::author_, &decide::configuration_record::written_at_,
+                  &decide::configuration_record::text_);
+GUAVAHAVEN_LAYOUT(decide::configuration_whole, &decide::configuration_whole::record_);
+GUAVAHAVEN_LAYOUT(decide::move_fact, &decide::move_fact::id_, &decide::move_fact::service_,
+                  &decide::move_fact::version_, &decide::move_fact::stage_, &decide::move_fact::done_,
+                  &decide::move_fact::withdrawn_, &decide::move_fact::reason_, &decide::move_fact::since_);
+GUAVAHAVEN_LAYOUT(decide::move_facts, &decide::move_facts::facts_);
+GUAVAHAVEN_LAYOUT(decide::evidence, &decide::evidence::move_, &decide::evidence::gate_,
+                  &decide::evidence::incarnation_, &decide::evidence::version_, &decide::evidence::route_,
+                  &decide::evidence::class_, &decide::evidence::data_center_, &decide::evidence::answered_,
+                  &decide::evidence::failed_, &decide::evidence::slow_, &decide::evidence::busy_);
+GUAVAHAVEN_LAYOUT(decide::evidence_report, &decide::evidence_report::items_);
+
+GUAVAHAVEN_LAYOUT(decide::seed, &decide::seed::data_center_, &decide::seed::daemon_);
+
+GUAVAHAVEN_LAYOUT(peer::hello, &peer::hello::protocol_, &peer::hello::name_, &peer::hello::incarnation_);
+
+} // namespace guavahaven
--- /dev/null
+++ b/src/platform/objects.h
@@ -0,0 +1,28 @@
+#pragma once
+
+// The objects that guavahaven keeps in the platform, and their bytes.
+
+#include <string>
+#include <vector>
+
+#include "decide/gossip.h"
+
+namespace guavahaven::platform {
+
+// Kinds and names of objects.
+inline constexpr const char* configuration_kind = "configuration"; // one object: "current"
+inline constexpr const char* history_kind = "history";             // one object a configuration number
+inline constexpr const char* moves_kind = "moves";                 // one object a service
+inline constexpr const char* seeds_kind = "seeds";                 // one object: "current"
+inline constexpr const char* current_name = "current";
+
+std::string to_bytes(const decide::configuration_record& r);
+std::string to_bytes(const std::vector<decide::move_fact>& facts);
+std::string to_bytes(const std::vector<decide::seed>& seeds);
+
+// platform_malformed if the bytes hold no such object.
+result<decide::configuration_record> to_record(const std::string& bytes);
+result<std::vector<decide::move_fact>> to_facts(const std::string& bytes);
+result<std::vector<decide::seed>> to_seeds(const std::string& bytes);
+
+} // namespace guavahaven::platform
--- /dev/null
+++ b/tests/support/demo/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
