--- a/src/base/result.h
+++ b/src/base/result.h
@@ -36,11 +36,14 @@
     platform_not_found = 203,
     platform_refused = 204,
     platform_older_state = 205,
+    configuration_conflict = 206,
+    started_unconfirmed = 207,
 
     frame_malformed = 300,
     frame_too_large = 301,
     frame_protocol_version = 302,
     peer_unreachable = 303,
+    content_hash_mismatch = 304,
 
     no_route = 400,
     no_backend_server = 401,
--- a/src/decide/control.cpp
+++ b/src/decide/control.cpp
@@ -7,47 +7,66 @@
 namespace {
 
 constexpr duration digest_interval = std::chrono::seconds(1);
+constexpr duration flush_interval =
+    std::chrono::milliseconds(20);                        // least time between two passings-on of news
+constexpr duration pause_least = std::chrono::seconds(1); // between ticks: this process stood still
+constexpr duration watch_settle = std::chrono::milliseconds(500); // after the start, to learn of others
+constexpr duration seed_check_interval = std::chrono::seconds(30);
+constexpr std::size_t seeds_met = 4; // asked at once
+constexpr std::ptrdiff_t seeds_most = 128;
+constexpr std::size_t probe_helpers = 2;
+constexpr std::size_t doubted_probe_chance = 2; // one digest interval in so many
 
 } // namespace
 
 control::control(member self, std::uint64_t seed, configuration_parser parse, time_point now)
-    : membership_(std::move(self), now), random_(seed), parse_(std::move(parse))
+    : membership_(std::move(self), now), distribution_(std::move(parse)), readiness_(now), random_(seed),
+      started_(now), last_tick_(now)
 {
-    refresh_view();
+    publish(now);
 }
 
 control_actions control::handle(const control_event& event, time_point now)
 {
     std::visit([&](const auto& e) { on(e, now); }, event);
+    flush_news(now);
     return std::exchange(actions_, {});
 }
 
 void control::on(const control_received& e, time_point now)
 {
-    membership_.heard_from(e.from_, now);
+    detector_.heard_from(e.from_, now);
     std::visit([&](const auto& m) { take(e.from_, m, now); }, e.message_);
 }
 
 void control::on(const platform_configuration& e, time_point)
 {
-    if (record_ && e.record_.number_ < record_->number_) {
-        const std::string detail = "the platform has configuration " +
-                                   std::to_string(e.record_.number_.value()) + ", in force is " +
-                                   std::to_string(record_->number_.value());
-        actions_.push_back(report_problem{{code::platform_older_state, detail}});
-        return;
-    }
-    adopt(e.record_, daemon_name());
+    settle(distribution_.offer(e.record_), daemon_name());
+}
+
+void control::on(const platform_asked& e, time_point now)
+{
+    readiness_.platform_asked(e.answered_);
+    update_watch(now);
 }
 
 void control::on(const seeds_known& e, time_point)
 {
-    seeds_ = e.seeds_;
-    for (const daemon_name& seed : seeds_) {
-        if (seed == self().name_)
-            continue;
-        send(seed, announcements{{self()}});
-        send(seed, own_digest(true));
+    for (const daemon_name& seed : e.seeds_)
+        if (seed != self().name_ && std::find(seeds_.begin(), seeds_.end(), seed) == seeds_.end())
+            seeds_.push_back(seed);
+    if (std::ssize(seeds_) > seeds_most)
+        seeds_.erase(seeds_.begin(), seeds_.end() - seeds_most);
+    meet_seeds();
+}
+
+void control::meet_seeds()
+{
+    std::shuffle(seeds_.begin(), seeds_.end(), random_);
+    for (std::size_t i = 0; i < std::min(seeds_met, seeds_.size()); ++i) {
+        send(seeds_[i], announcements{{self()}}, true);
+        send(seeds_[i], own_digest());
+        readiness_.neighbours_asked();
     }
 }
 
@@ -73,20 +92,28 @@
 void control::on(const control_tick& e, time_point now)
 {
     wall_ = e.wall_;
+    note_pause(now);
     spread(membership_.tick(now), daemon_name());
-    if (configuration_) {
-        const std::vector<move_fact> changed = moves_.tick(*configuration_, e.wall_, now);
+    probe_silent(now);
+    if (const configuration_ptr& c = distribution_.configuration()) {
+        const std::vector<move_fact> changed = moves_.tick(*c, e.wall_, now);
         for (const move_fact& f : changed)
             actions_.push_back(store_move{f});
         spread(changed, daemon_name());
     }
-    if (now - last_digest_ >= digest_interval) {
-        last_digest_ = now;
-        tell_neighbours(own_digest(true), daemon_name());
-        if (membership_.neighbours().empty())
-            on(seeds_known{seeds_}, now);
+    if (now - last_digest_ >= digest_interval)
+        exchange_digests(now);
+    update_watch(now);
+}
+
+// After a pause the silence of others tells nothing.
+void control::note_pause(time_point now)
+{
+    if (now - last_tick_ > pause_least) {
+        membership_.resume(now);
+        detector_.resume(now);
     }
-    update_watch();
+    last_tick_ = now;
 }
 
 void control::on(const leave_requested&, time_point)
@@ -95,35 +122,131 @@
     spread(std::vector<member>{self()}, daemon_name());
 }
 
+void control::exchange_digests(time_point now)
+{
+    last_digest_ = now;
+    tell_neighbours(own_digest(), daemon_name());
+    probe_doubted();
+    if (membership_.neighbours().empty())
+        meet_seeds();
+}
+
+void control::probe_silent(time_point now)
+{
+    const std::vector<daemon_name>& neighbours = membership_.neighbours();
+    const detector_step step = detector_.tick(neighbours, now);
+    for (const daemon_name& name : step.probe_) {
+        const member* target = membership_.find(name);
+        if (!target)
+            continue;
+        probe_directly(*target);
+        for (std::size_t i = 0; i < probe_helpers && !neighbours.empty(); ++i) {
+            const daemon_name& helper = neighbours[random_index(random_, neighbours.size())];
+            if (helper != name)
+                send(helper, probe_wanted{*target});
+        }
+    }
+    for (const daemon_name& name : step.suspect_)
+        spread(membership_.suspect(name, now), daemon_name());
+}
+
+// A daemon that was cut off or stood still is back as soon as it answers.
+void control::probe_doubted()
+{
+    if (random_index(random_, doubted_probe_chance) == 0)
+        if (const auto doubted = membership_.draw_doubted(random_))
+            probe_directly(*doubted);
+    if (const auto silent = membership_.draw_undoubted_of_cut_off(random_))
+        detector_.doubt(silent->name_, last_tick_);
+}
+
+void control::probe_directly(const member& target)
+{
+    send(target.name_, probe{target, daemon_name()}, true);
+}
+
 void control::take(const daemon_name& from, const announcements& m, time_point now)
 {
-    spread(membership_.merge(m.members_, now), from);
+    const merge_outcome outcome = membership_.merge(m.members_, now);
+    spread(outcome.news_, from);
+    if (!outcome.corrections_.empty())
+        send(from, announcements{outcome.corrections_});
 }
 
-void control::take(const daemon_name& from, const digest& m, time_point)
+void control::take(const daemon_name& from, const digest& m, time_point now)
 {
-    const digest own = own_digest(false);
-    if (m.configuration_ > own.configuration_)
-        send(from, configuration_wanted{own.configuration_});
-    else if (m.configuration_ < own.configuration_ && record_)
-        send(from, configuration_whole{*record_});
-    if (m.members_ != own.members_)
-        send(from, announcements{membership_.members()});
-    if (m.moves_ != own.moves_)
+    detector_.chosen_by(from, now);
+    const member* held = membership_.find(from);
+    if (held && held->state_ != member_state::alive && held->state_ != member_state::draining)
+        send(from, announcements{{*held}}); // to be refuted
+    settle(distribution_.heard_of(m.configuration_, m.configuration_hash_), from);
+    if (const auto update = distribution_.update_for(m.configuration_, m.configuration_hash_))
+        send(from, *update);
+    if (m.members_ != membership_.hash())
+        send(from, member_buckets{membership_.bucket_hashes()});
+    if (m.moves_ != moves_.hash())
         send(from, move_facts{moves_.facts()});
-    if (m.answer_wanted_)
-        send(from, own);
+    send(from, digest_received{});
+}
+
+void control::take(const daemon_name&, const digest_received&, time_point)
+{
+    readiness_.neighbour_answered();
+}
+
+void control::take(const daemon_name& from, const member_buckets& m, time_point)
+{
+    const std::vector<std::uint64_t> own = membership_.bucket_hashes();
+    members_wanted wanted;
+    for (std::uint32_t b = 0; b < own.size() && b < m.hashes_.size(); ++b)
+        if (m.hashes_[b] != own[b])
+            wanted.buckets_.push_back(b);
+    if (wanted.buckets_.empty())
+        return;
+    send(from, wanted);
+    send(from, announcements{membership_.members_in(wanted.buckets_)});
+}
+
+void control::take(const daemon_name& from, const members_wanted& m, time_point)
+{
+    send(from, announcements{membership_.members_in(m.buckets_)});
+}
+
+void control::take(const daemon_name& from, const probe& m, time_point now)
+{
+    spread(membership_.merge({m.held_}, now).news_, from);
+    send(from, probe_answer{self(), m.for_});
+}
+
+void control::take(const daemon_name& from, const probe_answer& m, time_point now)
+{
+    if (!m.for_.empty() && m.for_ != self().name_) {
+        send(m.for_, m);
+        return;
+    }
+    detector_.heard_from(m.self_.name_, now);
+    take(from, announcements{{m.self_}}, now);
+}
+
+void control::take(const daemon_name& from, const probe_wanted& m, time_point)
+{
+    send(m.held_.name_, probe{m.held_, from}, true);
 }
 
 void control::take(const daemon_name& from, const configuration_wanted& m, time_point)
 {
-    if (record_ && record_->number_ > m.above_)
-        send(from, configuration_whole{*record_});
+    if (const auto update = distribution_.update_for(m.above_, m.hash_))
+        send(from, *update);
 }
 
 void control::take(const daemon_name& from, const configuration_whole& m, time_point)
 {
-    adopt(m.record_, from);
+    settle(distribution_.offer(m), from);
+}
+
+void control::take(const daemon_name& from, const configuration_delta& m, time_point)
+{
+    settle(distribution_.offer(m), from);
 }
 
 void control::take(const daemon_name& from, const move_facts& m, time_point)
@@ -136,44 +259,60 @@
     moves_.merge(m.items_);
 }
 
-void control::adopt(const configuration_record& record, const daemon_name& from)
+void control::settle(const offer_outcome& outcome, const daemon_name& from)
 {
-    if (record_ && record.number_ <= record_->number_) {
-        if (record.number_ == record_->number_ && record.text_ != record_->text_) {
-            const std::string detail = "configuration " + std::to_string(record.number_.value()) +
-                                       " has another content than the one in force";
-            actions_.push_back(report_problem{{code::platform_older_state, detail}});
-        }
-        return;
+    if (outcome.problem_)
+        actions_.push_back(report_problem{*outcome.problem_});
+    if (outcome.whole_wanted_ && !from.empty()) {
+        // After an offer that was no use, only the whole text will do.
+        const content_hash base = outcome.problem_ ? content_hash() : distribution_.hash();
+        send(from, configuration_wanted{distribution_.number(), base});
     }
-    result<configuration> parsed = parse_(record);
-    if (!ok(parsed)) {
-        actions_.push_back(report_problem{failure(parsed)});
+    if (!outcome.adopted_)
         return;
-    }
-    record_ = record;
-    configuration_ = std::make_shared<const configuration>(guavahaven::take(std::move(parsed)));
-    moves_.set_configuration(*configuration_);
-    refresh_view();
-    tell_neighbours(configuration_whole{record}, from);
+    moves_.set_configuration(*distribution_.configuration());
+    configuration_stale_ = true;
+    if (const auto change = distribution_.last_change())
+        tell_neighbours(*change, from);
+    else
+        tell_neighbours(own_digest(), from);
 }
 
 void control::spread(const std::vector<member>& news, const daemon_name& from)
 {
-    if (news.empty())
-        return;
-    refresh_view();
-    tell_neighbours(announcements{news}, from);
+    for (const member& m : news)
+        news_.insert_or_assign(m.name_, heard_news{m, from});
 }
 
 void control::spread(const std::vector<move_fact>& news, const daemon_name& from)
 {
     if (news.empty())
         return;
-    refresh_view();
+    view_stale_ = true;
     tell_neighbours(move_facts{news}, from);
 }
 
+void control::flush_news(time_point now)
+{
+    const bool due = now - last_flush_ >= flush_interval;
+    if (!news_.empty() && due) {
+        for (const daemon_name& n : membership_.neighbours()) {
+            announcements all;
+            for (const auto& [name, news] : news_)
+                if (news.from_ != n)
+                    all.members_.push_back(news.member_);
+            if (!all.members_.empty())
+                send(n, std::move(all));
+        }
+        news_.clear();
+        view_stale_ = true;
+        last_flush_ = now;
+    }
+    const bool show = configuration_stale_ && readiness_.ready();
+    if (show || (view_stale_ && due))
+        publish(now);
+}
+
 void control::tell_neighbours(const control_message& message, const daemon_name& except)
 {
     for (const daemon_name& n : membership_.neighbours())
@@ -181,37 +320,45 @@
             send(n, message);
 }
 
-void control::send(const daemon_name& to, control_message message)
+void control::send(const daemon_name& to, control_message message, bool fresh_connection)
 {
-    actions_.push_back(send_control{to, std::move(message)});
+    actions_.push_back(send_control{to, std::move(message), fresh_connection});
 }
 
-digest control::own_digest(bool answer_wanted) const
+digest control::own_digest() const
 {
-    digest d;
-    d.members_ = membership_.hash();
-    d.moves_ = moves_.hash();
-    if (record_) {
-        d.configuration_ = record_->number_;
-        d.configuration_hash_ = hash_of(record_->text_);
-    }
-    d.answer_wanted_ = answer_wanted;
-    return d;
+    return {membership_.hash(), moves_.hash(), distribution_.number(), distribution_.hash()};
 }
 
-void control::refresh_view()
+// Until the daemon is ready, the view has no configuration, so that nothing is served.
+void control::publish(time_point now)
 {
-    view_ = std::make_shared<const view>(view{configuration_, membership_.members(), moves_.facts()});
+    const configuration_ptr shown = readiness_.ready() ? distribution_.configuration() : nullptr;
+    view_ = std::make_shared<const view>(view{shown, membership_.members(), moves_.facts()});
+    view_stale_ = false;
+    configuration_stale_ = shown != distribution_.configuration();
+    last_flush_ = now;
     actions_.push_back(publish_view{view_});
 }
 
-void control::update_watch()
+void control::update_watch(time_point now)
 {
-    const bool watch = membership_.watches_platform();
-    if (watch == watching_)
+    const bool was_ready = readiness_.ready();
+    if (!readiness_.update(now))
+        return;
+    if (!was_ready && readiness_.unconfirmed())
+        actions_.push_back(
+            report_problem{{code::started_unconfirmed, "neither the platform nor a daemon answered"}});
+    if (now - started_ < watch_settle)
         return;
+    const bool watch = membership_.watches_platform();
+    if (watch != watching_)
+        actions_.push_back(watch_platform{watch});
+    if (watch && (!watching_ || now - last_seed_check_ >= seed_check_interval)) {
+        last_seed_check_ = now;
+        actions_.push_back(keep_seeds{membership_.seed_candidates()});
+    }
     watching_ = watch;
-    actions_.push_back(watch_platform{watch});
 }
 
 } // namespace guavahaven::decide
--- a/src/decide/control.h
+++ b/src/decide/control.h
@@ -11,8 +11,11 @@
 #include <vector>
 
 #include "base/random.h"
+#include "decide/distribution.h"
+#include "decide/failure_detector.h"
 #include "decide/membership.h"
 #include "decide/move_tracker.h"
+#include "decide/readiness.h"
 
 namespace guavahaven::decide {
 
@@ -26,6 +29,11 @@
     configuration_record record_;
     friend bool operator==(const platform_configuration&, const platform_configuration&) = default;
 };
+// The platform answered a read of the configuration (there may be none yet), or did not.
+struct platform_asked {
+    bool answered_ = false;
+    friend bool operator==(const platform_asked&, const platform_asked&) = default;
+};
 // Daemons that may be reached first, from the settings or the platform.
 struct seeds_known {
     std::vector<daemon_name> seeds_;
@@ -56,8 +64,8 @@
 struct leave_requested {
     friend bool operator==(const leave_requested&, const leave_requested&) = default;
 };
-using control_event = std::variant<control_received, platform_configuration, seeds_known, platform_moves,
-                                   own_backend, own_evidence, control_tick, leave_requested>;
+using control_event = std::variant<control_received, platform_configuration, platform_asked, seeds_known,
+                                   platform_moves, own_backend, own_evidence, control_tick, leave_requested>;
 
 struct publish_view {
     view_ptr view_;
@@ -67,6 +75,12 @@
     bool watch_ = false;
     friend bool operator==(const watch_platform&, const watch_platform&) = default;
 };
+// Keep a few of these daemons of the own data centre, the first ones first, as
+// seeds in the platform, and none that is not among them.
+struct keep_seeds {
+    std::vector<daemon_name> candidates_;
+    friend bool operator==(const keep_seeds&, const keep_seeds&) = default;
+};
 // Join a fact into the platform's object of its service.
 struct store_move {
     move_fact fact_;
@@ -77,13 +91,10 @@
     error error_;
     friend bool operator==(const report_problem&, const report_problem&) = default;
 };
-using control_action = std::variant<send_control, publish_view, watch_platform, store_move, report_problem>;
+using control_action =
+    std::variant<send_control, publish_view, watch_platform, keep_seeds, store_move, report_problem>;
 using control_actions = std::vector<control_action>;
 
-// Turns a rules text into a configuration; given by the owner, so that this
-// folder stays free of parsing.
-using configuration_parser = std::function<result<configuration>(const configuration_record&)>;
-
 class control {
 public:
     control(member self, std::uint64_t seed, configuration_parser parse, time_point now);
@@ -92,12 +103,18 @@
 
     view_ptr current() const { return view_; }
     const member& self() const { return membership_.self(); }
-    const std::optional<configuration_record>& record() const { return record_; }
+    const std::optional<configuration_record>& record() const { return distribution_.record(); }
     std::vector<evidence> known_evidence() const { return moves_.known_evidence(); }
 
 private:
+    struct heard_news {
+        member member_;
+        daemon_name from_;
+    };
+
     void on(const control_received& e, time_point now);
     void on(const platform_configuration& e, time_point now);
+    void on(const platform_asked& e, time_point now);
     void on(const seeds_known& e, time_point now);
     void on(const platform_moves& e, time_point now);
     void on(const own_backend& e, time_point now);
@@ -107,31 +124,53 @@
 
     void take(const daemon_name& from, const announcements& m, time_point now);
     void take(const daemon_name& from, const digest& m, time_point now);
+    void take(const daemon_name& from, const digest_received& m, time_point now);
+    void take(const daemon_name& from, const member_buckets& m, time_point now);
+    void take(const daemon_name& from, const members_wanted& m, time_point now);
+    void take(const daemon_name& from, const probe& m, time_point now);
+    void take(const daemon_name& from, const probe_answer& m, time_point now);
+    void take(const daemon_name& from, const probe_wanted& m, time_point now);
     void take(const daemon_name& from, const configuration_wanted& m, time_point now);
     void take(const daemon_name& from, const configuration_whole& m, time_point now);
+    void take(const daemon_name& from, const configuration_delta& m, time_point now);
     void take(const daemon_name& from, const move_facts& m, time_point now);
     void take(const daemon_name& from, const evidence_report& m, time_point now);
 
-    // Puts a configuration in force if it is newer and whole; tells the neighbours.
-    void adopt(const configuration_record& record, const daemon_name& from);
+    // Acts on what became of a configuration offered by a daemon, or the platform if empty.
+    void settle(const offer_outcome& outcome, const daemon_name& from);
+    void meet_seeds();
+    void exchange_digests(time_point now);
+    void probe_silent(time_point now);
+    void probe_doubted();
+    void probe_directly(const member& target);
+    // News are kept back while much of it comes, and sent together.
     void spread(const std::vector<member>& news, const daemon_name& from);
     void spread(const std::vector<move_fact>& news, const daemon_name& from);
+    void flush_news(time_point now);
     void tell_neighbours(const control_message& message, const daemon_name& except);
-    void send(const daemon_name& to, control_message message);
-    digest own_digest(bool answer_wanted) const;
-    void refresh_view();
-    void update_watch();
+    void send(const daemon_name& to, control_message message, bool fresh_connection = false);
+    digest own_digest() const;
+    void publish(time_point now);
+    void update_watch(time_point now);
+    void note_pause(time_point now);
 
     membership membership_;
+    failure_detector detector_;
+    distribution distribution_;
+    readiness readiness_;
     move_tracker moves_;
     random_engine random_;
-    configuration_parser parse_;
-    std::optional<configuration_record> record_;
-    configuration_ptr configuration_;
     std::vector<daemon_name> seeds_;
     view_ptr view_;
+    std::map<daemon_name, heard_news> news_; // not yet passed on
+    bool view_stale_ = false;
+    bool configuration_stale_ = false; // the view lacks the configuration in force
     bool watching_ = false;
+    time_point started_;
+    time_point last_tick_;
+    time_point last_flush_{};
     time_point last_digest_{};
+    time_point last_seed_check_{};
     wall_time wall_{};
     control_actions actions_;
 };
--- a/src/decide/gossip.h
+++ b/src/decide/gossip.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "decide/text_delta.h"
 #include "decide/view.h"
 
 namespace guavahaven::decide {
@@ -17,29 +18,77 @@
     friend bool operator==(const announcements&, const announcements&) = default;
 };
 
-// Hashes of what the sender knows; the receiver answers with what differs.
-// Sent at intervals, it is the heartbeat too.
+// Hashes of what the sender knows. Sent at intervals to each neighbour, it is
+// the heartbeat too; the receiver answers with what differs, or with same.
 struct digest {
     std::uint64_t members_ = 0; // hash over all members
     std::uint64_t moves_ = 0;   // hash over all move facts
     configuration_number configuration_;
     content_hash configuration_hash_;
-    bool answer_wanted_ = true;
     friend bool operator==(const digest&, const digest&) = default;
 };
 
-// The sender lacks configurations above this number.
+// Answer to a digest: alive, whether or not anything differs.
+struct digest_received {
+    friend bool operator==(const digest_received&, const digest_received&) = default;
+};
+
+// Hashes of the sender's members by bucket, so that only what differs is sent.
+struct member_buckets {
+    std::vector<std::uint64_t> hashes_;
+    friend bool operator==(const member_buckets&, const member_buckets&) = default;
+};
+
+// The sender wants all members of these buckets.
+struct members_wanted {
+    std::vector<std::uint32_t> buckets_;
+    friend bool operator==(const members_wanted&, const members_wanted&) = default;
+};
+
+// Is the receiver alive? Sent over a new connection, as an open one may be
+// silent. It carries what the sender holds of the receiver, to be refuted.
+struct probe {
+    member held_;
+    daemon_name for_; // who asked for it; empty if the sender itself
+    friend bool operator==(const probe&, const probe&) = default;
+};
+
+struct probe_answer {
+    member self_;
+    daemon_name for_;
+    friend bool operator==(const probe_answer&, const probe_answer&) = default;
+};
+
+// Probe this daemon for the sender, who can't reach it.
+struct probe_wanted {
+    member held_;
+    friend bool operator==(const probe_wanted&, const probe_wanted&) = default;
+};
+
+// The sender lacks configurations above this one.
 struct configuration_wanted {
     configuration_number above_;
+    content_hash hash_; // of that one; 0 if only the whole text will do
     friend bool operator==(const configuration_wanted&, const configuration_wanted&) = default;
 };
 
 // The whole text of a configuration.
 struct configuration_whole {
     configuration_record record_;
+    content_hash hash_;
     friend bool operator==(const configuration_whole&, const configuration_whole&) = default;
 };
 
+// A configuration as a change of an earlier one, named by number and hash.
+struct configuration_delta {
+    configuration_number base_;
+    content_hash base_hash_;
+    configuration_record record_; // without its text
+    content_hash hash_;           // of the text that the parts must yield
+    std::vector<text_part> parts_;
+    friend bool operator==(const configuration_delta&, const configuration_delta&) = default;
+};
+
 struct move_facts {
     std::vector<move_fact> facts_;
     friend bool operator==(const move_facts&, const move_facts&) = default;
@@ -66,8 +115,9 @@
     friend bool operator==(const evidence_report&, const evidence_report&) = default;
 };
 
-using control_message = std::variant<announcements, digest, configuration_wanted, configuration_whole,
-                                     move_facts, evidence_report>;
+using control_message = std::variant<announcements, digest, digest_received, member_buckets, members_wanted,
+                                     probe, probe_answer, probe_wanted, configuration_wanted,
+                                     configuration_whole, configuration_delta, move_facts, evidence_report>;
 
 // A daemon that others may ask first, as kept in the platform.
 struct seed {
@@ -79,6 +129,7 @@
 struct send_control {
     daemon_name to_;
     control_message message_;
+    bool fresh_connection_ = false; // an open connection may be silent
     friend bool operator==(const send_control&, const send_control&) = default;
 };
 
--- a/src/decide/membership.cpp
+++ b/src/decide/membership.cpp
@@ -7,46 +7,134 @@
 
 namespace {
 
-constexpr std::size_t neighbours_most = 8;
+constexpr std::size_t near_neighbours_most = 3;
+constexpr std::size_t far_neighbours_most = 2;
 constexpr std::size_t watchers_per_data_center = 2;
-constexpr duration silent_before_suspect = std::chrono::seconds(3);
-constexpr duration suspect_before_dead = std::chrono::seconds(3);
+constexpr duration suspect_before_dead = std::chrono::seconds(4);
+constexpr duration cut_off_before_dead = std::chrono::hours(1);
 constexpr duration keep_dead = std::chrono::minutes(2);
+constexpr std::size_t cut_off_least = 2; // silent daemons of a data centre before it counts as cut off
 
 bool gone(member_state s)
 {
     return s == member_state::left || s == member_state::dead;
 }
 
+// How strongly a state contradicts that the daemon serves.
+int doubt(member_state s)
+{
+    switch (s) {
+    case member_state::alive:
+    case member_state::draining:
+        return 0;
+    case member_state::suspect:
+        return 1;
+    case member_state::left:
+        return 2;
+    case member_state::dead:
+        return 3;
+    }
+    return 0;
+}
+
 // The order in which one announcement of a daemon replaces another. At the
-// same revision the worse state wins, until the daemon itself refutes it.
+// same revision the greater doubt wins, until the daemon itself refutes it.
 auto precedence(const member& m)
 {
-    return std::tuple(m.incarnation_, m.revision_, m.state_);
+    return std::tuple(m.incarnation_, m.revision_, doubt(m.state_));
+}
+
+std::uint32_t bucket_of(const daemon_name& name)
+{
+    return static_cast<std::uint32_t>(guavahaven::hash(name.str()) % membership::bucket_count);
+}
+
+std::uint64_t hash_of_member(const member& m)
+{
+    const std::uint64_t numbers[] = {m.incarnation_.value(), m.revision_,
+                                     static_cast<std::uint64_t>(m.state_)};
+    const std::string_view bytes(reinterpret_cast<const char*>(numbers), sizeof numbers);
+    return guavahaven::hash(bytes, guavahaven::hash(m.name_.str()));
 }
 
 } // namespace
 
-membership::membership(member self, time_point) : self_(std::move(self)) {}
+membership::membership(member self, time_point) : self_(std::move(self)), self_bucket_(bucket_of(self_.name_))
+{
+    hash_self();
+}
 
-std::vector<member> membership::merge(const std::vector<member>& heard, time_point now)
+void membership::hash_self()
 {
-    std::vector<member> news;
+    buckets_[self_bucket_] -= self_hash_;
+    self_hash_ = hash_of_member(self_);
+    buckets_[self_bucket_] += self_hash_;
+}
+
+// Gone members are left out: each daemon forgets them at a time of its own.
+void membership::hash_in(known& k)
+{
+    buckets_[k.bucket_] -= k.hash_;
+    k.hash_ = gone(k.member_.state_) ? 0 : hash_of_member(k.member_);
+    buckets_[k.bucket_] += k.hash_;
+}
+
+void membership::count(const known& k, bool in)
+{
+    population& p = populations_[k.member_.data_center_];
+    const std::size_t step = in ? 1 : static_cast<std::size_t>(-1);
+    if (!gone(k.member_.state_))
+        p.present_ += step;
+    if (k.member_.state_ == member_state::suspect)
+        p.suspect_ += step;
+}
+
+void membership::put(const member& m, time_point now)
+{
+    neighbours_stale_ = true;
+    auto at = others_.find(m.name_);
+    if (at == others_.end()) {
+        known fresh;
+        fresh.bucket_ = bucket_of(m.name_);
+        fresh.neighbour_rank_ = rendezvous_rank(self_.name_.str(), m.name_);
+        at = others_.emplace(m.name_, fresh).first;
+    }
+    else
+        count(at->second, false);
+    known& k = at->second;
+    k.member_ = m;
+    k.changed_ = now;
+    k.watcher_rank_ = rendezvous_rank(m.data_center_.str(), m.name_);
+    count(k, true);
+    hash_in(k);
+}
+
+merge_outcome membership::merge(const std::vector<member>& heard, time_point now)
+{
+    merge_outcome outcome;
     for (const member& m : heard) {
         if (m.name_ == self_.name_) {
-            if (m.incarnation_ == self_.incarnation_ && precedence(m) > precedence(self_)) {
-                self_.revision_ = m.revision_ + 1; // refutes what is said of this daemon
-                news.push_back(self_);
-            }
+            if (precedence(m) <= precedence(self_))
+                continue;
+            // Refutes what is said of this daemon, or of one before it at this address.
+            self_.incarnation_ = m.incarnation_;
+            self_.revision_ = m.revision_ + 1;
+            hash_self();
+            outcome.news_.push_back(self_);
             continue;
         }
         const auto at = others_.find(m.name_);
-        if (at != others_.end() && precedence(m) <= precedence(at->second.member_))
+        if (at == others_.end() ? gone(m.state_) : precedence(m) <= precedence(at->second.member_)) {
+            const bool outdated = at != others_.end() && gone(at->second.member_.state_) &&
+                                  precedence(m) < precedence(at->second.member_);
+            if (outdated)
+                outcome.corrections_.push_back(at->second.member_);
             continue;
-        others_[m.name_] = {m, now, now};
-        news.push_back(m);
+        }
+        put(m, now);
+        outcome.news_.push_back(m);
     }
-    return news;
+    return outcome;
 }
 
 bool membership::announce(const service_name& service, const version_name& version, std::uint32_t slots,
@@ -56,11 +144,13 @@
     changed.service_ = service;
     changed.version_ = version;
     changed.slots_ = slots;
-    changed.state_ = draining ? member_state::draining : member_state::alive;
+    if (self_.state_ != member_state::left)
+        changed.state_ = draining ? member_state::draining : member_state::alive;
     if (changed == self_)
         return false;
     ++changed.revision_;
     self_ = changed;
+    hash_self();
     return true;
 }
 
@@ -68,35 +158,38 @@
 {
     ++self_.revision_;
     self_.state_ = member_state::left;
+    hash_self();
+}
+
+void membership::change_state(known& k, member_state state, time_point now)
+{
+    member changed = k.member_;
+    changed.state_ = state;
+    put(changed, now);
 }
 
-void membership::heard_from(const daemon_name& from, time_point now)
+std::vector<member> membership::suspect(const daemon_name& name, time_point now)
 {
-    const auto at = others_.find(from);
-    if (at != others_.end())
-        at->second.heard_ = now;
+    const auto at = others_.find(name);
+    if (at == others_.end() || doubt(at->second.member_.state_) > 0)
+        return {};
+    change_state(at->second, member_state::suspect, now);
+    return {at->second.member_};
 }
 
 std::vector<member> membership::tick(time_point now)
 {
     std::vector<member> news;
-    const std::vector<daemon_name> watched = neighbours();
     for (auto at = others_.begin(); at != others_.end();) {
         known& k = at->second;
-        const bool neighbour = std::find(watched.begin(), watched.end(), at->first) != watched.end();
-        if (gone(k.member_.state_) && now - k.changed_ > keep_dead) {
+        const duration age = now - k.changed_;
+        if (gone(k.member_.state_) && age > keep_dead) {
             at = others_.erase(at);
             continue;
         }
-        const bool silent = neighbour && now - k.heard_ > silent_before_suspect;
-        if (k.member_.state_ == member_state::suspect && now - k.changed_ > suspect_before_dead) {
-            k.member_.state_ = member_state::dead;
-            k.changed_ = now;
-            news.push_back(k.member_);
-        }
-        else if (silent && k.member_.state_ < member_state::suspect) {
-            k.member_.state_ = member_state::suspect;
-            k.changed_ = now;
+        const bool overdue = k.member_.state_ == member_state::suspect && age > suspect_before_dead;
+        if (overdue && (age > cut_off_before_dead || !cut_off(k.member_.data_center_))) {
+            change_state(k, member_state::dead, now);
             news.push_back(k.member_);
         }
         ++at;
@@ -104,50 +197,141 @@
     return news;
 }
 
+void membership::resume(time_point now)
+{
+    for (auto& [name, k] : others_)
+        if (k.member_.state_ == member_state::suspect)
+            k.changed_ = now;
+}
+
+const member* membership::find(const daemon_name& name) const
+{
+    const auto at = others_.find(name);
+    return at == others_.end() ? nullptr : &at->second.member_;
+}
+
 std::vector<member> membership::members() const
 {
-    std::vector<member> all{self_};
+    std::vector<member> all;
+    all.reserve(others_.size() + 1);
     for (const auto& [name, k] : others_)
         all.push_back(k.member_);
-    std::sort(all.begin(), all.end(), [](const member& a, const member& b) { return a.name_ < b.name_; });
+    const auto place = std::lower_bound(all.begin(), all.end(), self_,
+                                        [](const member& a, const member& b) { return a.name_ < b.name_; });
+    all.insert(place, self_);
     return all;
 }
 
 std::uint64_t membership::hash() const
 {
     std::uint64_t sum = 0;
-    for (const member& m : members()) {
-        const std::string text = m.name_.str() + "/" + std::to_string(m.incarnation_.value()) + "/" +
-                                 std::to_string(m.revision_) + "/" + std::string(name(m.state_));
-        sum += guavahaven::hash(text);
-    }
+    for (const std::uint64_t bucket : buckets_)
+        sum += bucket;
     return sum;
 }
 
-std::vector<daemon_name> membership::neighbours() const
+std::vector<std::uint64_t> membership::bucket_hashes() const
 {
-    std::vector<daemon_name> names;
+    return {buckets_.begin(), buckets_.end()};
+}
+
+std::vector<member> membership::members_in(const std::vector<std::uint32_t>& buckets) const
+{
+    std::array<bool, bucket_count> wanted{};
+    for (const std::uint32_t b : buckets)
+        if (b < bucket_count)
+            wanted[b] = true;
+    std::vector<member> found;
+    if (wanted[self_bucket_])
+        found.push_back(self_);
     for (const auto& [name, k] : others_)
-        if (!gone(k.member_.state_))
-            names.push_back(name);
-    const auto rank = [this](const daemon_name& n) { return rendezvous_rank(self_.name_.str(), n); };
-    std::sort(names.begin(), names.end(),
-              [&](const daemon_name& a, const daemon_name& b) { return rank(a) > rank(b); });
-    names.resize(std::min(names.size(), neighbours_most));
-    return names;
+        if (wanted[k.bucket_] && !gone(k.member_.state_))
+            found.push_back(k.member_);
+    return found;
+}
+
+const std::vector<daemon_name>& membership::neighbours() const
+{
+    if (!neighbours_stale_)
+        return neighbours_;
+    struct candidate {
+        std::uint64_t rank_;
+        const daemon_name* name_;
+    };
+    std::vector<candidate> near;
+    std::vector<candidate> far;
+    for (const auto& [name, k] : others_)
+        if (doubt(k.member_.state_) == 0)
+            (k.member_.data_center_ == self_.data_center_ ? near : far).push_back({k.neighbour_rank_, &name});
+    neighbours_.clear();
+    const auto take_best = [this](std::vector<candidate>& from, std::size_t most) {
+        const std::size_t count = std::min(most, from.size());
+        std::partial_sort(from.begin(), from.begin() + static_cast<std::ptrdiff_t>(count), from.end(),
+                          [](const candidate& a, const candidate& b) { return a.rank_ > b.rank_; });
+        for (std::size_t i = 0; i < count; ++i)
+            neighbours_.push_back(*from[i].name_);
+    };
+    take_best(near, near_neighbours_most);
+    take_best(far, far_neighbours_most);
+    neighbours_stale_ = false;
+    return neighbours_;
 }
 
 bool membership::watches_platform() const
 {
-    const auto rank = [this](const daemon_name& n) { return rendezvous_rank(self_.data_center_.str(), n); };
-    const std::uint64_t own = rank(self_.name_);
+    const std::uint64_t own = rendezvous_rank(self_.data_center_.str(), self_.name_);
     std::size_t above = 0;
     for (const auto& [name, k] : others_) {
         const bool near = k.member_.data_center_ == self_.data_center_;
-        if (near && k.member_.state_ == member_state::alive && rank(name) > own)
+        if (near && k.member_.state_ == member_state::alive && k.watcher_rank_ > own)
             ++above;
     }
     return above < watchers_per_data_center;
 }
 
+std::vector<daemon_name> membership::seed_candidates() const
+{
+    std::vector<std::pair<std::uint64_t, daemon_name>> ranked;
+    ranked.emplace_back(rendezvous_rank(self_.data_center_.str(), self_.name_), self_.name_);
+    for (const auto& [name, k] : others_)
+        if (k.member_.data_center_ == self_.data_center_ && k.member_.state_ == member_state::alive)
+            ranked.emplace_back(k.watcher_rank_, name);
+    std::sort(ranked.begin(), ranked.end(), [](const auto& a, const auto& b) { return a.first > b.first; });
+    std::vector<daemon_name> names;
+    for (const auto& [rank, name] : ranked)
+        names.push_back(name);
+    return names;
+}
+
+bool membership::cut_off(const data_center_name& name) const
+{
+    const auto at = populations_.find(name);
+    if (at == populations_.end())
+        return false;
+    const population& p = at->second;
+    return p.suspect_ >= cut_off_least && 2 * p.suspect_ >= p.present_;
+}
+
+std::optional<member> membership::draw_doubted(random_engine& random) const
+{
+    std::vector<const member*> doubted;
+    for (const auto& [name, k] : others_)
+        if (k.member_.state_ == member_state::suspect || k.member_.state_ == member_state::dead)
+            doubted.push_back(&k.member_);
+    if (doubted.empty())
+        return {};
+    return *doubted[random_index(random, doubted.size())];
+}
+
+std::optional<member> membership::draw_undoubted_of_cut_off(random_engine& random) const
+{
+    std::vector<const member*> undoubted;
+    for (const auto& [name, k] : others_)
+        if (doubt(k.member_.state_) == 0 && cut_off(k.member_.data_center_))
+            undoubted.push_back(&k.member_);
+    if (undoubted.empty())
+        return {};
+    return *undoubted[random_index(random, undoubted.size())];
+}
+
 } // namespace guavahaven::decide
--- a/src/main/daemon.cpp
+++ b/src/main/daemon.cpp
@@ -37,7 +37,7 @@
 
 enum exit_status { stopped = 0, wrong_usage = 1, faulty_settings = 2, cannot_listen = 3 };
 
-constexpr duration control_interval = std::chrono::milliseconds(200);
+constexpr duration control_interval = std::chrono::milliseconds(50);
 constexpr duration stop_check_interval = std::chrono::milliseconds(50);
 constexpr duration leave_notice = std::chrono::milliseconds(300); // for the news to spread before the end
 constexpr std::size_t problems_most = 16;
@@ -88,7 +88,7 @@
                   [this](const daemon_name& to, const decide::entry_to_gate& m, bool fresh) {
                       ask(to, m, fresh);
                   }),
-          watcher_(loop_, metrics_, {settings_.platform_, settings_.data_center_, self_, seed_},
+          watcher_(loop_, metrics_, {settings_.platform_, settings_.data_center_, seed_},
                    [this](decide::control_event e) { mail_.post(to_control{std::move(e)}); }),
           operators_(loop_, {}, [this](const std::shared_ptr<http::exchange>& e) { serve_operator(*e); }),
           control_timer_(loop_, [this] { tick(); }), stop_timer_(loop_, [this] { finish_stop(); })
@@ -174,7 +174,7 @@
             std::visit([this](const auto& a) { apply(a); }, action);
     }
 
-    void apply(const decide::send_control& a) { mesh_.send(a.to_, a.message_); }
+    void apply(const decide::send_control& a) { mesh_.send(a.to_, a.message_, a.fresh_connection_); }
 
     void apply(const decide::publish_view& a)
     {
@@ -189,11 +189,13 @@
         std::set<service_name> moving;
         for (const decide::move_rule& r : c->moves_)
             moving.insert(r.service_);
-        watcher_.read_moves(moving);
+        watcher_.set_moving(moving);
     }
 
     void apply(const decide::watch_platform& a) { watcher_.watch(a.watch_); }
 
+    void apply(const decide::keep_seeds& a) { watcher_.keep_seeds(a.candidates_); }
+
     void apply(const decide::store_move& a)
     {
         log_info("control", "move_changed",
--- a/src/main/guavahaven.cpp
+++ b/src/main/guavahaven.cpp
@@ -28,7 +28,7 @@
 Usage:
   guavahaven check FILE [--json]
   guavahaven diff FILE --platform=ADDRESS [--json]
-  guavahaven apply FILE --platform=ADDRESS [--author=NAME] [--json]
+  guavahaven apply FILE --platform=ADDRESS [--daemon=ADDRESS] [--base=N] [--author=NAME] [--json]
   guavahaven status --daemon=ADDRESS [--watch] [--json]
   guavahaven explain METHOD PATH (--file=FILE | --platform=ADDRESS) [--header=NAME:VALUE]
   guavahaven history --platform=ADDRESS [--count=N] [--json]
@@ -45,7 +45,11 @@
 
 Options:
   --platform=ADDRESS   IP:PORT of the platform's object API.
-  --daemon=ADDRESS     IP:PORT of the operator port of any daemon.
+  --daemon=ADDRESS     IP:PORT of the operator port of any daemon. With apply, the
+                       rules get a number above the highest in force, also when
+                       the platform was restored to an older state.
+  --base=N             Number of the configuration that the file was made from; it
+                       is refused if another one is current by now.
   --author=NAME        Who applies it; the login name by default.
   --header=NAME:VALUE  A header of the request to explain.
   --count=N            How many configurations to list [default: 10].
@@ -205,42 +209,6 @@
     return login ? login : "unknown";
 }
 
-int apply(const arguments& args)
-{
-    const auto rules = load_rules(args, args.at("FILE").asString());
-    if (!rules)
-        return refused;
-    const auto at = platform_of(args);
-    if (!ok(at))
-        return report(failure(at), wrong_usage);
-    platform_session session(value(at));
-    const auto base = session.read();
-    if (!ok(base))
-        return report(failure(base), unreachable);
-    const auto outcome = wait_for<operators::publish_outcome>(session.loop_, [&](auto h) {
-        session.publisher_.publish(value(base), author_of(args), rules->text_, runtime_clock().wall(), h);
-    });
-    if (!ok(outcome))
-        return report(failure(outcome), unreachable);
-    const operators::publish_outcome& o = value(outcome);
-    if (as_json(args)) {
-        std::cout << json{{"accepted", o.written_},
-                          {"configuration", o.now_.record_.number_.value()},
-                          {"author", o.now_.record_.author_}}
-                         .dump()
-                  << "\n";
-        return o.written_ ? done : conflict;
-    }
-    if (o.written_) {
-        std::cout << "accepted as configuration " << o.now_.record_.number_.value() << "\n";
-        return done;
-    }
-    std::cout << "not applied: " << o.winner_->record_.author_ << " applied configuration "
-              << o.winner_->record_.number_.value() << " first; what differs from yours:\n";
-    print_changes(operators::difference(o.winner_->record_.text_, rules->text_));
-    return conflict;
-}
-
 result<http::response> fetch(event_loop& loop, const http::address& at, const std::string& target)
 {
     http::client client(loop, at, 1, {code::peer_unreachable, http::to_string(at)});
@@ -284,6 +252,72 @@
     return all;
 }
 
+// The highest configuration number in force on any daemon that can be asked.
+result<configuration_number> highest_in_force(event_loop& loop, const arguments& args)
+{
+    const auto at = http::parse_address(args.at("--daemon").asString());
+    if (!ok(at))
+        return failure(at);
+    const auto first = fetch_status(loop, value(at));
+    if (!ok(first))
+        return failure(first);
+    return configuration_number(ask_all(loop, value(first)).newest_);
+}
+
+void print_race_lost(const operators::published& winner, const decide::configuration& ours)
+{
+    std::cout << "not applied: " << winner.record_.author_ << " applied configuration "
+              << winner.record_.number_.value() << " first; what differs from yours:\n";
+    print_changes(operators::difference(winner.record_.text_, ours.text_));
+}
+
+int apply(const arguments& args)
+{
+    const auto rules = load_rules(args, args.at("FILE").asString());
+    if (!rules)
+        return refused;
+    const auto at = platform_of(args);
+    if (!ok(at))
+        return report(failure(at), wrong_usage);
+    platform_session session(value(at));
+    const auto base = session.read();
+    if (!ok(base))
+        return report(failure(base), unreachable);
+    configuration_number above;
+    if (args.at("--daemon")) {
+        const auto highest = highest_in_force(session.loop_, args);
+        if (!ok(highest))
+            return report(failure(highest), unreachable);
+        above = value(highest);
+    }
+    if (args.at("--base") &&
+        static_cast<std::uint64_t>(args.at("--base").asLong()) != value(base).record_.number_.value()) {
+        print_race_lost(value(base), *rules);
+        return conflict;
+    }
+    const auto outcome = wait_for<operators::publish_outcome>(session.loop_, [&](auto h) {
+        session.publisher_.publish(value(base), above, author_of(args), rules->text_, runtime_clock().wall(),
+                                   h);
+    });
+    if (!ok(outcome))
+        return report(failure(outcome), unreachable);
+    const operators::publish_outcome& o = value(outcome);
+    if (as_json(args)) {
+        std::cout << json{{"accepted", o.written_},
+                          {"configuration", o.now_.record_.number_.value()},
+                          {"author", o.now_.record_.author_}}
+                         .dump()
+                  << "\n";
+        return o.written_ ? done : conflict;
+    }
+    if (o.written_) {
+        std::cout << "accepted as configuration " << o.now_.record_.number_.value() << "\n";
+        return done;
+    }
+    print_race_lost(*o.winner_, *rules);
+    return conflict;
+}
+
 std::size_t count_current(const mesh_status& all)
 {
     const auto current = [&](const operators::daemon_status& d) { return d.configuration_ == all.newest_; };
--- a/src/operator/publisher.cpp
+++ b/src/operator/publisher.cpp
@@ -1,12 +1,14 @@
 #include "operator/publisher.h"
 
+#include <algorithm>
+
 #include "platform/objects.h"
 
 namespace guavahaven::operators {
 
 namespace {
 
-constexpr int settle_tries = 5; // reads after a write whose answer was lost
+constexpr int write_tries = 5; // writes, and reads after a write whose answer was lost
 
 } // namespace
 
@@ -25,38 +27,45 @@
                });
 }
 
-void publisher::publish(const published& base, const std::string& author, const std::string& text,
-                        wall_time now, std::function<void(result<publish_outcome>)> handler)
+void publisher::publish(const published& base, configuration_number above, const std::string& author,
+                        const std::string& text, wall_time now,
+                        std::function<void(result<publish_outcome>)> handler)
 {
     decide::configuration_record ours;
-    ours.number_ = base.record_.number_.next();
+    ours.number_ = std::max(base.record_.number_, above).next();
     ours.author_ = author;
     ours.written_at_ = static_cast<std::uint64_t>(now.time_since_epoch().count());
     ours.text_ = text;
-    const auto written = [this, ours, handler](const result<std::uint64_t>& r) {
+    write(base.object_version_, ours, write_tries, std::move(handler));
+}
+
+void publisher::write(std::uint64_t over, const decide::configuration_record& ours, int tries_left,
+                      std::function<void(result<publish_outcome>)> handler)
+{
+    const auto written = [this, over, ours, tries_left, handler](const result<std::uint64_t>& r) {
         if (!ok(r))
-            return settle(ours, settle_tries, handler);
+            return settle(over, ours, tries_left, failure(r), handler);
         keep_past(ours, [=, version = value(r)] { handler(publish_outcome{{version, ours}, true, {}}); });
     };
-    store_.put(platform::configuration_kind, platform::current_name, platform::to_bytes(ours),
-               base.object_version_, written);
+    store_.put(platform::configuration_kind, platform::current_name, platform::to_bytes(ours), over, written);
 }
 
-// The write was refused, or its answer was lost: what the platform holds now tells which.
-void publisher::settle(const decide::configuration_record& ours, int tries_left,
-                       std::function<void(result<publish_outcome>)> handler)
+// The write was refused, or its answer was lost: what the platform holds now
+// tells which. A write that had no effect is tried again; should the first one
+// come late after all, the object's version keeps the two from both counting.
+void publisher::settle(std::uint64_t over, const decide::configuration_record& ours, int tries_left,
+                       const error& why, std::function<void(result<publish_outcome>)> handler)
 {
+    if (tries_left <= 0)
+        return handler(why);
     read([=, this](const result<published>& found) {
-        if (!ok(found)) {
-            if (tries_left <= 1)
-                return handler(failure(found));
-            return settle(ours, tries_left - 1, handler);
-        }
+        if (!ok(found))
+            return settle(over, ours, tries_left - 1, failure(found), handler);
         const published& now = value(found);
         if (now.record_ == ours)
             return keep_past(ours, [=] { handler(publish_outcome{now, true, {}}); });
-        if (now.record_.number_ < ours.number_)
-            return handler(error{code::platform_unreachable, "the write did not take effect"});
+        if (now.object_version_ == over)
+            return write(over, ours, tries_left - 1, handler);
         handler(publish_outcome{now, false, now});
     });
 }
--- a/src/operator/publisher.h
+++ b/src/operator/publisher.h
@@ -35,10 +35,12 @@
     // The configuration in the platform; number 0 if there is none.
     void read(std::function<void(result<published>)> handler);
 
-    // Writes text with the number after 'base', the configuration that the
-    // operator has seen. Errors: platform_unreachable if the outcome could not
-    // be settled, platform_conflict never (see winner_).
-    void publish(const published& base, const std::string& author, const std::string& text, wall_time now,
+    // Writes text over 'base', the configuration that the operator has seen,
+    // with the number after the higher of base's and 'above', the highest known
+    // to be in force. Errors: platform_unreachable if the outcome could not be
+    // settled, platform_conflict never (see winner_).
+    void publish(const published& base, configuration_number above, const std::string& author,
+                 const std::string& text, wall_time now,
                  std::function<void(result<publish_outcome>)> handler);
 
     // A past configuration.
@@ -46,8 +48,10 @@
                    std::function<void(result<decide::configuration_record>)> handler);
 
 private:
-    void settle(const decide::configuration_record& ours, int tries_left,
-                std::function<void(result<publish_outcome>)> handler);
+    void write(std::uint64_t over, const decide::configuration_record& ours, int tries_left,
+               std::function<void(result<publish_outcome>)> handler);
+    void settle(std::uint64_t over, const decide::configuration_record& ours, int tries_left,
+                const error& why, std::function<void(result<publish_outcome>)> handler);
     void keep_past(const decide::configuration_record& record, std::function<void()> handler);
 
     platform::store& store_;
--- a/src/peer/layouts.h
+++ b/src/peer/layouts.h
@@ -11,7 +11,7 @@
 #define GUAVAHAVEN_LAYOUT(TYPE, ...)                                                                         \
     template <>                                                                                              \
     struct layout<TYPE> {                                                                                    \
-        static auto fields(auto& v)                                                                          \
+        static auto fields([[maybe_unused]] auto& v)                                                         \
         {                                                                                                    \
             return std::apply([&](auto... m) { return std::tie((v.*m)...); }, std::tuple{__VA_ARGS__});      \
         }                                                                                                    \
@@ -59,13 +59,25 @@
                   &decide::member::version_, &decide::member::slots_);
 GUAVAHAVEN_LAYOUT(decide::announcements, &decide::announcements::members_);
 GUAVAHAVEN_LAYOUT(decide::digest, &decide::digest::members_, &decide::digest::moves_,
-                  &decide::digest::configuration_, &decide::digest::configuration_hash_,
-                  &decide::digest::answer_wanted_);
-GUAVAHAVEN_LAYOUT(decide::configuration_wanted, &decide::configuration_wanted::above_);
+                  &decide::digest::configuration_, &decide::digest::configuration_hash_);
+GUAVAHAVEN_LAYOUT(decide::digest_received);
+GUAVAHAVEN_LAYOUT(decide::member_buckets, &decide::member_buckets::hashes_);
+GUAVAHAVEN_LAYOUT(decide::members_wanted, &decide::members_wanted::buckets_);
+GUAVAHAVEN_LAYOUT(decide::probe, &decide::probe::held_, &decide::probe::for_);
+GUAVAHAVEN_LAYOUT(decide::probe_answer, &decide::probe_answer::self_, &decide::probe_answer::for_);
+GUAVAHAVEN_LAYOUT(decide::probe_wanted, &decide::probe_wanted::held_);
+GUAVAHAVEN_LAYOUT(decide::configuration_wanted, &decide::configuration_wanted::above_,
+                  &decide::configuration_wanted::hash_);
 GUAVAHAVEN_LAYOUT(decide::configuration_record, &decide::configuration_record::number_,
                   &decide::configuration_record::author_, &decide::configuration_record::written_at_,
                   &decide::configuration_record::text_);
-GUAVAHAVEN_LAYOUT(decide::configuration_whole, &decide::configuration_whole::record_);
+GUAVAHAVEN_LAYOUT(decide::configuration_whole, &decide::configuration_whole::record_,
+                  &decide::configuration_whole::hash_);
+GUAVAHAVEN_LAYOUT(decide::text_part, &decide::text_part::first_, &decide::text_part::count_,
+                  &decide::text_part::inserted_);
+GUAVAHAVEN_LAYOUT(decide::configuration_delta, &decide::configuration_delta::base_,
+                  &decide::configuration_delta::base_hash_, &decide::configuration_delta::record_,
+                  &decide::configuration_delta::hash_, &decide::configuration_delta::parts_);
 GUAVAHAVEN_LAYOUT(decide::move_fact, &decide::move_fact::id_, &decide::move_fact::service_,
                   &decide::move_fact::version_, &decide::move_fact::stage_, &decide::move_fact::done_,
                   &decide::move_fact::withdrawn_, &decide::move_fact::reason_, &decide::move_fact::since_);
--- a/src/peer/mesh.cpp
+++ b/src/peer/mesh.cpp
@@ -14,6 +14,10 @@
 namespace {
 
 constexpr std::size_t unsent_most = 16 * 1024 * 1024; // bytes to a peer that reads too slowly
+constexpr duration idle_check_interval = std::chrono::seconds(2);
+constexpr duration idle_most = std::chrono::seconds(10); // without heartbeats
+// A connection that has carried calls may wait long for an answer.
+constexpr duration idle_most_with_calls = std::chrono::minutes(20);
 
 std::optional<sockaddr_in> socket_address(const http::address& a)
 {
@@ -31,16 +35,19 @@
     setsockopt(bufferevent_getfd(stream), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
 }
 
-bool is_control(const message& m)
+bool is_call(const message& m)
 {
-    return std::holds_alternative<decide::control_message>(m);
+    return std::holds_alternative<decide::entry_to_gate>(m) ||
+           std::holds_alternative<decide::gate_to_entry>(m);
 }
 
 } // namespace
 
 mesh::mesh(event_loop& loop, metrics& counts, hello self, std::function<void(event)> handler)
-    : loop_(loop), metrics_(counts), self_(std::move(self)), handler_(std::move(handler))
+    : loop_(loop), metrics_(counts), self_(std::move(self)), handler_(std::move(handler)),
+      idle_timer_(loop, [this] { close_idle(); })
 {
+    idle_timer_.arm(idle_check_interval);
 }
 
 mesh::~mesh() = default;
@@ -69,7 +76,7 @@
 
 mesh::link* mesh::adopt(bufferevent* stream, const daemon_name& name, bool outgoing)
 {
-    auto owned = std::make_unique<link>(link{*this, {}, name, outgoing, {}});
+    auto owned = std::make_unique<link>(link{*this, {}, name, outgoing, false, clock_.now(), {}});
     link* raw = owned.get();
     raw->stream_.reset(stream);
     bufferevent_setcb(stream, &mesh::on_read, nullptr, &mesh::on_event, raw);
@@ -112,7 +119,8 @@
 void mesh::write(link& to, const message& m)
 {
     const std::string frame = to_frame(m);
-    if (is_control(m)) {
+    note_use(to, m);
+    if (!is_call(m)) {
         metrics_.counter("guavahaven_control_bytes_sent_total") += frame.size();
         ++metrics_.counter("guavahaven_control_messages_sent_total");
     }
@@ -138,6 +146,11 @@
                         "peer=" + l.name_.str() + " error=" + to_string(failure(*next)));
             return owner.close(&l);
         }
+        owner.note_use(l, value(*next));
+        if (!is_call(value(*next))) {
+            owner.metrics_.counter("guavahaven_control_bytes_received_total") += l.reader_.last_size();
+            ++owner.metrics_.counter("guavahaven_control_messages_received_total");
+        }
         owner.take(l, guavahaven::take(std::move(*next)));
         if (!owner.links_.contains(&l))
             return;
@@ -149,14 +162,12 @@
     if (const auto* greeting = std::get_if<hello>(&m)) {
         if (!from.outgoing_) {
             from.name_ = greeting->name_;
-            by_name_.insert({from.name_, &from});
+            by_name_.insert_or_assign(from.name_, &from);
         }
         return;
     }
     if (from.name_.empty())
         return close(&from); // every connection starts with a hello
-    if (is_control(m))
-        ++metrics_.counter("guavahaven_control_messages_received_total");
     handler_(received{from.name_, std::move(m)});
 }
 
@@ -167,16 +178,41 @@
         l.owner_.close(&l);
 }
 
+void mesh::note_use(link& l, const message& m)
+{
+    l.used_ = clock_.now();
+    l.carries_calls_ = l.carries_calls_ || is_call(m);
+}
+
 void mesh::close(link* gone)
 {
     const daemon_name name = gone->name_;
+    const bool carried_calls = gone->carries_calls_;
     const auto named = by_name_.find(name);
     const bool was_used = named != by_name_.end() && named->second == gone;
     if (was_used)
         by_name_.erase(named);
     links_.erase(gone);
     if (was_used)
+        for (const auto& [other, owned] : links_)
+            if (other->name_ == name)
+                by_name_.insert_or_assign(name, other);
+    if (was_used || carried_calls)
         handler_(lost{name});
 }
 
+// A connection that a newer one replaced, or that nobody needs any more.
+void mesh::close_idle()
+{
+    const time_point now = clock_.now();
+    std::vector<link*> idle;
+    for (const auto& [l, owned] : links_)
+        if (now - l->used_ > (l->carries_calls_ ? idle_most_with_calls : idle_most))
+            idle.push_back(l);
+    for (link* l : idle)
+        close(l);
+    metrics_.set_gauge("guavahaven_peer_connections", static_cast<double>(links_.size()));
+    idle_timer_.arm(idle_check_interval);
+}
+
 } // namespace guavahaven::peer
--- a/src/peer/mesh.h
+++ b/src/peer/mesh.h
@@ -39,8 +39,8 @@
 
     status listen(const http::address& at);
 
-    // Sends over the open connection to a daemon, or opens one. With fresh, a
-    // new connection takes the place of the open one.
+    // Sends over the newest connection with a daemon, or opens one. With fresh,
+    // a new connection takes the place of the open one, which may be silent.
     void send(const daemon_name& to, const message& m, bool fresh = false);
 
 private:
@@ -55,6 +55,8 @@
         std::unique_ptr<bufferevent, bufferevent_deleter> stream_;
         daemon_name name_; // empty until an incoming link's hello has come
         bool outgoing_ = false;
+        bool carries_calls_ = false;
+        time_point used_; // when a message last went or came
         frame_reader reader_;
     };
 
@@ -65,8 +67,10 @@
     link* open(const daemon_name& to);
     link* adopt(bufferevent* stream, const daemon_name& name, bool outgoing);
     void write(link& to, const message& m);
+    void note_use(link& l, const message& m);
     void take(link& from, message m);
     void close(link* gone);
+    void close_idle();
 
     event_loop& loop_;
     metrics& metrics_;
@@ -75,6 +79,8 @@
     std::unique_ptr<evconnlistener, listener_deleter> listener_;
     std::map<link*, std::unique_ptr<link>> links_;
     std::map<daemon_name, link*> by_name_; // the link to send over
+    runtime_clock clock_;
+    timer idle_timer_;
 };
 
 } // namespace guavahaven::peer
--- a/src/peer/message.cpp
+++ b/src/peer/message.cpp
@@ -42,7 +42,8 @@
         return {};
     const std::string_view payload = std::string_view(bytes_).substr(start_ + length_bytes, length);
     result<message> m = deserialize<message>(payload);
-    start_ += length_bytes + length;
+    last_size_ = length_bytes + length;
+    start_ += last_size_;
     if (ok(m)) {
         const auto* greeting = std::get_if<hello>(&value(m));
         if (greeting && greeting->protocol_ != protocol_version)
--- a/src/peer/message.h
+++ b/src/peer/message.h
@@ -14,7 +14,7 @@
 namespace guavahaven::peer {
 
 // Raised whenever a message changes in a way that older daemons can't read.
-inline constexpr std::uint32_t protocol_version = 1;
+inline constexpr std::uint32_t protocol_version = 2;
 
 // Bytes of a frame's payload that are accepted at most.
 inline constexpr std::size_t frame_most = 4 * 1024 * 1024;
@@ -42,9 +42,13 @@
     // stream is no use any more (malformed, too large, another protocol).
     std::optional<result<message>> next();
 
+    // Bytes of the frame that next() gave last.
+    std::size_t last_size() const { return last_size_; }
+
 private:
     std::string bytes_;
     std::size_t start_ = 0;
+    std::size_t last_size_ = 0;
 };
 
 } // namespace guavahaven::peer
--- /dev/null
+++ b/src/platform/move_store.h
@@ -0,0 +1,42 @@
+#pragma once
+
+// Move facts in the platform: written by read, join and conditional update, so
+// that a lost answer or a second writer does no harm; what could not be written
+// is kept and tried again.
+
+#include <functional>
+#include <map>
+#include <set>
+
+#include "base/backoff.h"
+#include "base/call_budget.h"
+#include "decide/control.h"
+#include "platform/store.h"
+
+namespace guavahaven::platform {
+
+class move_store {
+public:
+    move_store(event_loop& loop, store& objects, call_budget& budget, std::uint64_t seed,
+               std::function<void(decide::control_event)> tell);
+
+    void write(const decide::move_fact& fact);
+    void read(const std::set<service_name>& services);
+
+private:
+    void write_next();
+    void join(const decide::move_fact& fact, const result<object>& found);
+    void settled(const decide::move_fact& fact, bool done);
+
+    store& store_;
+    call_budget& budget_;
+    runtime_clock clock_;
+    random_engine random_;
+    std::function<void(decide::control_event)> tell_;
+    backoff backoff_;
+    timer next_;
+    bool writing_ = false;
+    std::map<service_name, decide::move_fact> unwritten_;
+};
+
+} // namespace guavahaven::platform
--- a/src/platform/watcher.cpp
+++ b/src/platform/watcher.cpp
@@ -1,7 +1,5 @@
 #include "platform/watcher.h"
 
-#include <algorithm>
-
 #include "base/log.h"
 #include "platform/objects.h"
 
@@ -9,83 +7,87 @@
 
 namespace {
 
-constexpr duration watch_wait = std::chrono::seconds(20);
-constexpr duration retry_least = std::chrono::milliseconds(500);
-constexpr duration retry_spread = std::chrono::milliseconds(1500); // random addition to retry_least
-constexpr std::ptrdiff_t seeds_most = 4;                           // kept for a data centre
-constexpr int write_tries = 4;
+constexpr duration watch_wait = std::chrono::seconds(10);
+constexpr duration retry_first = std::chrono::milliseconds(500);
+constexpr duration retry_most = std::chrono::seconds(15);
+constexpr duration start_spread = std::chrono::milliseconds(100);
+// The first reads of a fleet that returns at once are spread by its size, of
+// which the number of seeds tells.
+constexpr duration read_spread_per_seed = std::chrono::milliseconds(35);
+constexpr double calls_per_second = 1;
+constexpr double calls_at_once = 6;
+
+duration drawn(random_engine& random, duration most)
+{
+    return duration(static_cast<duration::rep>(static_cast<double>(most.count()) * random_share(random)));
+}
 
 } // namespace
 
 watcher::watcher(event_loop& loop, metrics& counts, const watcher_settings& settings,
                  std::function<void(decide::control_event)> tell)
-    : metrics_(counts), settings_(settings), tell_(std::move(tell)), store_(loop, settings.platform_),
-      random_(settings.seed_), retry_(loop, [this] { watch_next(); })
+    : metrics_(counts), tell_(std::move(tell)), random_(settings.seed_), store_(loop, settings.platform_),
+      budget_(calls_per_second, calls_at_once),
+      seeds_(loop, store_, budget_, settings.data_center_, settings.seed_, tell_),
+      moves_(loop, store_, budget_, settings.seed_, tell_), backoff_(retry_first, retry_most),
+      start_(loop, [this] { read_first(); }), read_(loop, [this] { read_configuration(); }),
+      retry_(loop, [this] { retry(); })
 {
 }
 
 void watcher::start()
 {
-    read_seeds();
-    store_.get(configuration_kind, current_name,
-               [this](const result<object>& found) { took_configuration(found); });
+    start_.arm(drawn(random_, start_spread));
 }
 
-void watcher::read_seeds()
+void watcher::read_first()
 {
-    store_.get(seeds_kind, current_name, [this](const result<object>& found) {
-        if (!ok(found) && failure(found).code_ != code::platform_not_found)
-            return;
-        std::vector<decide::seed> known;
-        if (ok(found)) {
-            const auto read = to_seeds(value(found).bytes_);
-            if (ok(read))
-                known = value(read);
-        }
-        std::vector<daemon_name> names;
-        for (const decide::seed& s : known)
-            names.push_back(s.daemon_);
-        tell_(decide::seeds_known{names});
-        register_seed(ok(found) ? value(found).version_ : 0, known);
+    if (!budget_.take(clock_.now()))
+        return retry_.arm(backoff_.next(random_));
+    seeds_.read([this](const result<std::size_t>& count) {
+        if (!ok(count))
+            return took(failure(count));
+        seeds_read_ = true;
+        read_.arm(drawn(random_, value(count) * read_spread_per_seed));
     });
 }
 
-void watcher::register_seed(std::uint64_t version, std::vector<decide::seed> known)
+void watcher::read_configuration()
 {
-    const decide::seed own{settings_.data_center_, settings_.self_};
-    const bool listed = std::find(known.begin(), known.end(), own) != known.end();
-    const auto near = [&](const decide::seed& s) { return s.data_center_ == settings_.data_center_; };
-    if (listed || std::count_if(known.begin(), known.end(), near) >= seeds_most)
-        return;
-    known.push_back(own);
-    store_.put(seeds_kind, current_name, to_bytes(known), version,
-               [this](const result<std::uint64_t>& written) {
-                   // Another daemon registered first: read again, and learn of it.
-                   if (!ok(written) && failure(written).code_ == code::platform_conflict)
-                       read_seeds();
-               });
+    if (!budget_.take(clock_.now()))
+        return retry_.arm(backoff_.next(random_));
+    store_.get(configuration_kind, current_name, [this](const result<object>& found) { took(found); });
 }
 
 void watcher::watch(bool on)
 {
     watching_ = on;
-    if (on && !asked_)
-        watch_next();
+    if (!on)
+        return;
+    moves_.read(moving_);
+    watch_next();
+}
+
+void watcher::set_moving(const std::set<service_name>& services)
+{
+    moving_ = services;
+    if (watching_)
+        moves_.read(moving_);
 }
 
 void watcher::watch_next()
 {
-    if (!watching_ || asked_)
+    if (!watching_ || asked_ || !configuration_read_)
         return;
     asked_ = true;
     store_.watch(configuration_kind, current_name, seen_version_, watch_wait,
                  [this](const result<object>& found) {
                      asked_ = false;
-                     took_configuration(found);
+                     took(found);
                  });
 }
 
-void watcher::took_configuration(const result<object>& found)
+void watcher::took(const result<object>& found)
 {
     const bool answered = ok(found) || failure(found).code_ == code::platform_not_found;
     if (answered != reachable_) {
@@ -102,55 +104,22 @@
         else
             log_warning("platform", "configuration_malformed", to_string(failure(record)));
     }
-    if (answered)
-        return watch_next();
-    const auto extra = static_cast<double>(retry_spread.count()) * random_share(random_);
-    retry_.arm(retry_least + duration(static_cast<std::int64_t>(extra)));
+    tell_(decide::platform_asked{answered});
+    if (!answered)
+        return retry_.arm(backoff_.next(random_));
+    backoff_.reset();
+    configuration_read_ = true;
+    watch_next();
 }
 
-void watcher::read_moves(const std::set<service_name>& services)
+void watcher::retry()
 {
-    for (const service_name& service : services) {
-        store_.get(moves_kind, service.str(), [this](const result<object>& found) {
-            if (!ok(found))
-                return;
-            const auto facts = to_facts(value(found).bytes_);
-            if (ok(facts))
-                tell_(decide::platform_moves{value(facts)});
-        });
-    }
-}
-
-void watcher::store_move(const decide::move_fact& fact)
-{
-    write_move(fact, write_tries);
-}
-
-void watcher::write_move(const decide::move_fact& fact, int tries_left)
-{
-    store_.get(moves_kind, fact.service_.str(), [this, fact, tries_left](const result<object>& found) {
-        if (!ok(found) && failure(found).code_ != code::platform_not_found)
-            return;
-        std::vector<decide::move_fact> facts;
-        if (ok(found)) {
-            const auto read = to_facts(value(found).bytes_);
-            if (ok(read))
-                facts = value(read);
-        }
-        const auto same = [&](const decide::move_fact& f) { return f.id_ == fact.id_; };
-        const auto at = std::find_if(facts.begin(), facts.end(), same);
-        const decide::move_fact joined = at == facts.end() ? fact : decide::merge(*at, fact);
-        if (at != facts.end() && joined == *at)
-            return; // another daemon wrote it, or an answer was lost after the effect
-        // Only the newest move of a service matters; facts of older ones are dropped.
-        facts = {joined};
-        const std::uint64_t version = ok(found) ? value(found).version_ : 0;
-        store_.put(moves_kind, fact.service_.str(), to_bytes(facts), version,
-                   [this, fact, tries_left](const result<std::uint64_t>& written) {
-                       if (!ok(written) && tries_left > 1)
-                           write_move(fact, tries_left - 1);
-                   });
-    });
+    if (!seeds_read_)
+        read_first();
+    else if (!configuration_read_)
+        read_configuration();
+    else
+        watch_next();
 }
 
 } // namespace guavahaven::platform
--- a/src/platform/watcher.h
+++ b/src/platform/watcher.h
@@ -1,16 +1,19 @@
 #pragma once
 
-// The task that talks to the platform: watches the configuration while asked
-// to, reads seeds and move facts, and writes facts by read, join and
-// conditional update.
+// The task that talks to the platform: reads the configuration at the start,
+// watches it while asked to, and keeps seeds and move facts there. Its calls
+// are spread, budgeted and backed off, and never hold up serving.
 
 #include <functional>
-#include <map>
 #include <set>
 
+#include "base/backoff.h"
+#include "base/call_budget.h"
 #include "base/metrics.h"
 #include "base/random.h"
 #include "decide/control.h"
+#include "platform/move_store.h"
+#include "platform/seed_keeper.h"
 #include "platform/store.h"
 
 namespace guavahaven::platform {
@@ -18,7 +21,6 @@
 struct watcher_settings {
     http::address platform_;
     data_center_name data_center_;
-    daemon_name self_;
     std::uint64_t seed_ = 0; // of the jitter
 };
 
@@ -27,26 +29,36 @@
     watcher(event_loop& loop, metrics& counts, const watcher_settings& settings,
             std::function<void(decide::control_event)> tell);
 
-    // Reads seeds, configuration and move facts once, then registers as a seed.
+    // Reads seeds and configuration, again and again until it succeeds.
     void start();
     void watch(bool on);
-    void store_move(const decide::move_fact& fact);
-    // The services under a move, whose facts are read.
-    void read_moves(const std::set<service_name>& services);
+    void keep_seeds(const std::vector<daemon_name>& candidates) { seeds_.keep(candidates); }
+    void store_move(const decide::move_fact& fact) { moves_.write(fact); }
+    // The services under a move; their facts are read while watching.
+    void set_moving(const std::set<service_name>& services);
 
 private:
-    void read_seeds();
-    void register_seed(std::uint64_t version, std::vector<decide::seed> known);
+    void read_first();
+    void read_configuration();
     void watch_next();
-    void took_configuration(const result<object>& found);
-    void write_move(const decide::move_fact& fact, int tries_left);
+    void took(const result<object>& found);
+    void retry();
 
     metrics& metrics_;
-    watcher_settings settings_;
     std::function<void(decide::control_event)> tell_;
-    store store_;
+    runtime_clock clock_;
     random_engine random_;
+    store store_;
+    call_budget budget_;
+    seed_keeper seeds_;
+    move_store moves_;
+    backoff backoff_;
+    timer start_;
+    timer read_;
     timer retry_;
+    std::set<service_name> moving_;
+    bool seeds_read_ = false;
+    bool configuration_read_ = false;
     bool watching_ = false;
     bool asked_ = false; // a watch is under way
     bool reachable_ = true;
--- /dev/null
+++ b/tests/decide/failure_detector_test.cpp
@@ -0,0 +1,58 @@
+#include <gtest/gtest.h>
+
+#include "decide/failure_detector.h"
+
+namespace guavahaven::decide {
+
+namespace {
+
+using std::chrono::milliseconds;
+const std::vector<daemon_name> neighbours{daemon_name("a"), daemon_name("b")};
+
+} // namespace
+
+TEST(failure_detector, probes_a_silent_neighbour_before_it_is_suspected)
+{
+    failure_detector d;
+    time_point now{};
+    d.tick(neighbours, now);
+    // Given that only b is heard of
+    now += milliseconds(3000);
+    d.heard_from(daemon_name("b"), now);
+    EXPECT_EQ(d.tick(neighbours, now), (detector_step{{daemon_name("a")}, {}}));
+    // When the probe is answered, nobody is suspected
+    d.heard_from(daemon_name("a"), now + milliseconds(100));
+    EXPECT_EQ(d.tick(neighbours, now + milliseconds(2000)), detector_step());
+    // When the next one is not, a is
+    now += milliseconds(3000);
+    d.heard_from(daemon_name("b"), now);
+    EXPECT_EQ(d.tick(neighbours, now), (detector_step{{daemon_name("a")}, {}}));
+    now += milliseconds(1600);
+    d.heard_from(daemon_name("b"), now);
+    EXPECT_EQ(d.tick(neighbours, now), (detector_step{{}, {daemon_name("a")}}));
+}
+
+TEST(failure_detector, watches_who_chose_this_daemon_while_it_says_so)
+{
+    failure_detector d;
+    time_point now{};
+    d.chosen_by(daemon_name("c"), now);
+    now += milliseconds(2600);
+    EXPECT_EQ(d.tick({}, now), (detector_step{{daemon_name("c")}, {}}));
+    // When it answers and chooses others, it is no longer watched
+    d.heard_from(daemon_name("c"), now);
+    now += milliseconds(7000);
+    EXPECT_EQ(d.tick({}, now), detector_step());
+}
+
+TEST(failure_detector, blames_nobody_for_its_own_pause)
+{
+    failure_detector d;
+    time_point now{};
+    d.tick(neighbours, now);
+    now += std::chrono::minutes(1);
+    d.resume(now);
+    EXPECT_EQ(d.tick(neighbours, now), detector_step());
+}
+
+} // namespace guavahaven::decide
