--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SEEDS ?= 5
 SOURCES = $(shell git ls-files 'src/*.h' 'src/*.cpp' 'tests/*.h' 'tests/*.cpp')
 
-.PHONY: help deps build build-debug demo test test-debug format format-check lint bench signature clean
+.PHONY: help deps build build-debug demo prove prove-fails test test-debug format format-check lint bench signature clean
 
 help: ## Show this list
 	@sed -n 's/^\([a-z-]*\):.*## /\1\t/p' Makefile | expand -t 16
@@ -24,6 +24,13 @@
 demo: build ## Run a small deployment on this machine, and say what happened
 	@build/release/guavahaven-demo
 
+prove: build ## Prove the promises under faults: make prove SEEDS=50 for a long run
+	@build/release/guavahaven-prove --seeds=$(SEEDS)
+
+prove-fails: build ## Show that each proof fails once its guard is switched off
+	@cmake --build --preset release -j $(JOBS) --target guavahaven-daemon-unguarded
+	@build/release/guavahaven-prove --without-guards
+
 test: build ## Build and run all tests
 	@scripts/run-tests build/release $(CTEST_JOBS)
 
--- a/src/decide/distribution.cpp
+++ b/src/decide/distribution.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "base/guards.h"
+
 namespace guavahaven::decide {
 
 namespace {
@@ -18,7 +20,7 @@
 
 offer_outcome distribution::offer(const configuration_record& from_platform)
 {
-    if (from_platform.number_ < number()) {
+    if (from_platform.number_ < number() && guarded(guard::number_order)) {
         const std::string detail =
             "the platform has " + named(from_platform.number_) + ", in force is " + named(number());
         return {false, false, error{code::platform_older_state, detail}};
@@ -28,6 +30,8 @@
 
 offer_outcome distribution::offer(const configuration_whole& whole)
 {
+    if (!guarded(guard::spreading))
+        return {};
     const content_hash actual = hash_of(whole.record_.text_);
     if (actual != whole.hash_)
         return {false, false, // the next digest will lead to it again
@@ -37,6 +41,8 @@
 
 offer_outcome distribution::offer(const configuration_delta& delta)
 {
+    if (!guarded(guard::spreading))
+        return {};
     if (delta.record_.number_ <= number())
         return heard_of(delta.record_.number_, delta.hash_);
     if (!record_ || delta.base_ != number() || delta.base_hash_ != hash_)
@@ -68,7 +74,7 @@
 {
     if (record_ && record.number_ == number() && of != hash_)
         return conflict();
-    if (record_ && record.number_ <= number())
+    if (record_ && record.number_ <= number() && guarded(guard::number_order))
         return {};
     result<guavahaven::decide::configuration> parsed = parse_(record);
     if (!ok(parsed)) {
--- a/src/decide/entry.cpp
+++ b/src/decide/entry.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 
+#include "base/guards.h"
 #include "decide/routing.h"
 
 namespace guavahaven::decide {
@@ -138,9 +139,12 @@
     std::vector<const member*> near;
     std::vector<const member*> far;
     for (const member& m : view_->members_) {
-        const bool fits = m.state_ == member_state::alive && m.service_ == r.call_.service_ &&
-                          m.version_ == r.call_.version_ && !r.tried_.contains(m.name_);
-        if (!fits || view_->configuration_->find_out(m.data_center_))
+        const bool takes = m.state_ == member_state::alive ||
+                           (m.state_ == member_state::draining && !guarded(guard::drain_refusal));
+        const bool fits = takes && m.service_ == r.call_.service_ && m.version_ == r.call_.version_ &&
+                          !r.tried_.contains(m.name_);
+        const bool out = view_->configuration_->find_out(m.data_center_) && guarded(guard::out_refusal);
+        if (!fits || out)
             continue;
         (m.data_center_ == data_center_ ? near : far).push_back(&m);
     }
@@ -200,7 +204,9 @@
 void entry::on(const gate_message& e, time_point now)
 {
     const call_id id = std::visit([](const auto& m) { return m.id_; }, e.message_);
-    const auto at = requests_.find(id);
+    auto at = requests_.find(id);
+    if (at == requests_.end() && !guarded(guard::call_match))
+        at = requests_.begin();
     if (at == requests_.end() || at->second.gate_ != e.from_)
         return; // late: another attempt took over, or the caller has gone
     std::visit([&](const auto& m) { take(at->second, m, now); }, e.message_);
@@ -275,7 +281,7 @@
         actions_.push_back(reply_abort{r.exchange_});
         return end(r, now, code::answer_incomplete);
     }
-    if (r.call_.once_)
+    if (r.call_.once_ && guarded(guard::unknown_outcome))
         return fail(r, now, code::outcome_unknown);
     try_elsewhere(r, now, why);
 }
--- a/src/decide/gate.cpp
+++ b/src/decide/gate.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "base/guards.h"
+
 namespace guavahaven::decide {
 
 namespace {
@@ -42,7 +44,7 @@
 {
     const bool fresh = !backend_ || backend_->version_ != e.version_ || backend_->service_ != e.service_;
     if (fresh)
-        limit_ = cold_limit;
+        limit_ = guarded(guard::cold_limit) ? cold_limit : e.slots_;
     backend_ = e;
 }
 
@@ -74,17 +76,17 @@
         return code::draining;
     if (!backend_ || backend_->service_ != c.service_)
         return code::no_backend_server;
-    if (backend_->draining_)
+    if (backend_->draining_ && guarded(guard::drain_refusal))
         return code::draining;
     if (backend_->version_ != c.version_)
         return code::not_run;
     if (!view_ || !view_->configuration_)
         return code::starting;
-    if (view_->configuration_->find_out(data_center_))
+    if (view_->configuration_->find_out(data_center_) && guarded(guard::out_refusal))
         return code::data_center_out;
     const move_rule* move = view_->configuration_->find_move(c.service_);
     const move_fact* fact = move ? view_->find_move(move->id()) : nullptr;
-    if (fact && fact->withdrawn_ && fact->version_ == c.version_)
+    if (fact && fact->withdrawn_ && fact->version_ == c.version_ && guarded(guard::withdrawn_refusal))
         return code::version_withdrawn;
     return code::ok;
 }
@@ -95,7 +97,7 @@
         return refuse(from, c.id_, why);
     if (fenced_.contains(c.id_))
         return refuse(from, c.id_, code::not_run);
-    if (c.once_ && identities_.contains(c.identity_))
+    if (c.once_ && identities_.contains(c.identity_) && guarded(guard::once_memory))
         return refuse(from, c.id_, code::duplicate_request);
 
     send(from, receipt{c.id_});
--- a/src/decide/view.cpp
+++ b/src/decide/view.cpp
@@ -1,6 +1,8 @@
 #include "decide/view.h"
 
 #include <algorithm>
+
+#include "base/guards.h"
 #include <array>
 
 namespace guavahaven::decide {
@@ -51,7 +53,7 @@
 
 double share_of(const move_rule& rule, const move_fact& fact)
 {
-    if (fact.withdrawn_)
+    if (fact.withdrawn_ && guarded(guard::withdrawn_refusal))
         return 0.0;
     if (fact.done_)
         return 1.0;
--- a/src/main/daemon.cpp
+++ b/src/main/daemon.cpp
@@ -7,6 +7,7 @@
 #include <iostream>
 
 #include "backend/door.h"
+#include "base/guards.h"
 #include "base/log.h"
 #include "base/mailbox.h"
 #include "caller/door.h"
@@ -249,7 +250,7 @@
 
     void finish_stop()
     {
-        const bool busy = backend_.busy() || caller_.busy();
+        const bool busy = (backend_.busy() || caller_.busy()) && guarded(guard::graceful_stop);
         if (!busy || clock_.now() - *stop_began_ > settings_.drain_timeout_)
             return loop_.stop();
         stop_timer_.arm(stop_check_interval);
--- a/src/operator/daemon_settings.cpp
+++ b/src/operator/daemon_settings.cpp
@@ -2,6 +2,8 @@
 
 #include <sstream>
 
+#include "base/guards.h"
+
 namespace guavahaven::operators {
 
 namespace {
@@ -46,6 +48,11 @@
         s.seeds_.emplace_back(seed);
     }
 
+#ifdef GUAVAHAVEN_UNGUARDED
+    if (const std::string off = file.text("test.without", ""); !off.empty() && !switch_off(off))
+        more.push_back({code::settings_bad_value, "test.without: no such guard"});
+#endif
+
     std::vector<error> faults = file.finish();
     faults.insert(faults.end(), more.begin(), more.end());
     if (!faults.empty())
--- a/src/operator/rules.cpp
+++ b/src/operator/rules.cpp
@@ -8,6 +8,7 @@
 #include <set>
 #include <sstream>
 
+#include "base/guards.h"
 #include "decide/routing.h"
 
 namespace guavahaven::operators {
@@ -326,7 +327,7 @@
         check_names();
         check_repeats();
         check_routes();
-        if (!faults_.empty()) {
+        if (!faults_.empty() && guarded(guard::whole_configuration)) {
             std::stable_sort(faults_.begin(), faults_.end(),
                              [](const rules_fault& a, const rules_fault& b) { return a.line_ < b.line_; });
             return faults_;
@@ -392,7 +393,7 @@
 
     void need_service(const service_name& name, const origin& from)
     {
-        if (!rules_.find_service(name))
+        if (!rules_.find_service(name) && guarded(guard::known_names))
             fault({from.line_, 0, {code::rules_unknown_service, "'" + name.str() + "'"}});
     }
 
--- a/tests/fakes/backend_server.cpp
+++ b/tests/fakes/backend_server.cpp
@@ -151,13 +151,27 @@
         r.timer_->arm(settings_.work_ + (on_path ? slow_ : duration::zero()));
     }
 
+    // Names the request that was run; parameter bytes asks for a body of that
+    // size, a repetition of the target.
+    http::response own_answer(const http::request& r) const
+    {
+        http::response answer{200, {{"Ran-Target", r.target_}}, settings_.version_ + "\n"};
+        const std::string size = http::query_parameter(r.target_, "bytes");
+        if (size.empty())
+            return answer;
+        answer.body_.clear();
+        while (answer.body_.size() < std::stoul(size))
+            answer.body_ += r.target_;
+        return answer;
+    }
+
     void work_done(std::uint64_t id)
     {
         const http::request& received = runs_.at(id).exchange_->received();
         const std::string chain = http::find_header(received.headers_, "Call-Chain");
         const int left = chain.empty() ? 0 : std::stoi(chain);
         if (left == 0)
-            return finish(id, {200, {}, settings_.version_ + "\n"});
+            return finish(id, own_answer(received));
         http::request next = received;
         next.headers_ = http::end_to_end(received.headers_);
         std::erase_if(next.headers_, [](const http::header& h) { return h.name_ == "Call-Chain"; });
--- a/tests/support/mesh.cpp
+++ b/tests/support/mesh.cpp
@@ -73,7 +73,7 @@
 
 void node::start_daemon()
 {
-    daemon_.emplace("guavahaven-daemon", std::vector<std::string>{folder_ + "/daemon.ini"}, log_path());
+    daemon_.emplace(daemon_binary_, std::vector<std::string>{folder_ + "/daemon.ini"}, log_path());
 }
 
 void node::start_backend()
@@ -113,6 +113,19 @@
     fetch(backend(), {"POST", "/control?" + query, {}, ""});
 }
 
+std::vector<journal_entry> node::journal() const
+{
+    std::vector<journal_entry> all;
+    std::ifstream in(journal_path());
+    for (std::string line; std::getline(in, line);) {
+        std::istringstream fields(line);
+        journal_entry e;
+        if (fields >> e.at_ >> e.event_ >> e.version_ >> e.identity_ >> e.method_ >> e.path_)
+            all.push_back(e);
+    }
+    return all;
+}
+
 mesh::mesh(const mesh_plan& plan)
     : folder_(scratch_folder()), platform_port_(free_port()), platform_control_port_(free_port()),
       proxy_control_port_(free_port())
@@ -127,6 +140,7 @@
     for (const node_plan& p : plan.nodes_) {
         node n;
         n.plan_ = p;
+        n.daemon_binary_ = plan.daemon_binary_;
         n.folder_ = scratch_folder();
         n.caller_port_ = free_port();
         n.peer_port_ = free_port();
@@ -139,8 +153,9 @@
                    "[daemon]\ndata_center = " + p.data_center_ + "\nip = 127.0.0.1\ncaller_port = " +
                        std::to_string(n.caller_port_) + "\npeer_port = " + std::to_string(n.peer_port_) +
                        "\nbackend_port = " + std::to_string(n.backend_port_) +
-                       "\noperator_port = " + std::to_string(n.operator_port_) + "\n[mesh]\nadvertised = " +
-                       local(n.advertised_port_) + "\n[platform]\naddress = " + local(platform_port_) + "\n");
+                       "\noperator_port = " + std::to_string(n.operator_port_) +
+                       "\n[mesh]\nadvertised = " + local(n.advertised_port_) +
+                       "\n[platform]\naddress = " + local(platform_port_) + "\n" + plan.more_settings_);
         nodes_.push_back(std::move(n));
     }
     if (plan.fault_proxy_)
@@ -223,13 +238,8 @@
 {
     std::vector<journal_entry> all;
     for (const node& n : nodes_) {
-        std::ifstream in(n.journal_path());
-        for (std::string line; std::getline(in, line);) {
-            std::istringstream fields(line);
-            journal_entry e;
-            if (fields >> e.at_ >> e.event_ >> e.version_ >> e.identity_ >> e.method_ >> e.path_)
-                all.push_back(e);
-        }
+        const std::vector<journal_entry> own = n.journal();
+        all.insert(all.end(), own.begin(), own.end());
     }
     std::stable_sort(all.begin(), all.end(),
                      [](const journal_entry& a, const journal_entry& b) { return a.at_ < b.at_; });
--- a/tests/support/mesh.h
+++ b/tests/support/mesh.h
@@ -45,6 +45,18 @@
 struct mesh_plan {
     std::vector<node_plan> nodes_;
     bool fault_proxy_ = false; // before every peer port
+    std::string daemon_binary_ = "guavahaven-daemon";
+    std::string more_settings_{}; // appended to every daemon's settings file
+};
+
+// A line of a backend server's journal.
+struct journal_entry {
+    std::uint64_t at_ = 0; // microseconds since 1970
+    std::string event_;
+    std::string version_;
+    std::string identity_;
+    std::string method_;
+    std::string path_;
 };
 
 class node {
@@ -66,6 +78,7 @@
     double metric(const std::string& name) const;
     // Sets faults of the backend server, such as "fail=100".
     void set_backend(const std::string& query) const;
+    std::vector<journal_entry> journal() const;
 
     std::optional<process> daemon_;
     std::optional<process> backend_;
@@ -73,6 +86,7 @@
 private:
     friend class mesh;
     node_plan plan_;
+    std::string daemon_binary_;
     std::string folder_;
     std::uint16_t caller_port_ = 0;
     std::uint16_t peer_port_ = 0;
@@ -82,16 +96,6 @@
     std::uint16_t backend_server_port_ = 0;
 };
 
-// A line of a backend server's journal.
-struct journal_entry {
-    std::uint64_t at_ = 0; // microseconds since 1970
-    std::string event_;
-    std::string version_;
-    std::string identity_;
-    std::string method_;
-    std::string path_;
-};
-
 class mesh {
 public:
     explicit mesh(const mesh_plan& plan);
