Bad input: a code for every fault, and nothing in force is lost

Faulty class and service lines still stand for their names. - A settings line above the library's buffer (about 200 bytes) was cut without a word, so that the last seeds of a long list were lost or mangled; it is now refused with its line. - A malformed configuration object in the platform could not be replaced: apply refused with the remedy 'apply a good rules file'.

--- a/src/base/result.cpp
+++ b/src/base/result.cpp
@@ -31,7 +31,7 @@
     entry{code::rules_unreadable, "rules_unreadable", "check the path and permissions of the rules file"},
     entry{code::platform_unreachable, "platform_unreachable", "wait for the platform or check its address"},
     entry{code::platform_conflict, "platform_conflict", "read the other change, merge it, apply again"},
-    entry{code::platform_malformed, "platform_malformed", "apply a good rules file to replace the object"},
+    entry{code::platform_malformed, "platform_malformed", "apply a good rules file with --daemon to replace the object"},
     entry{code::platform_not_found, "platform_not_found", "apply a rules file first"},
     entry{code::platform_refused, "platform_refused", "wait; the platform is over its rate"},
     entry{code::platform_older_state, "platform_older_state",
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -14,6 +14,7 @@
 struct line_source {
     std::istringstream text_;
     int line_ = 0;
+    int too_long_ = 0; // the first line that inih's buffer can't hold
     std::vector<std::pair<std::string, std::pair<std::string, int>>> found_;
 };
 
@@ -24,7 +25,10 @@
     if (!std::getline(source.text_, line))
         return nullptr;
     ++source.line_;
-    line.resize(std::min<std::size_t>(line.size(), static_cast<std::size_t>(size) - 2));
+    const std::size_t most = static_cast<std::size_t>(size) - 2;
+    if (line.size() > most && source.too_long_ == 0)
+        source.too_long_ = source.line_;
+    line.resize(std::min(line.size(), most));
     line += '\n';
     line.copy(buffer, line.size());
     buffer[line.size()] = '\0';
@@ -62,8 +66,11 @@
 
 result<settings_file> settings_file::parse(const std::string& path, const std::string& text)
 {
-    line_source source{std::istringstream(text), 0, {}};
+    line_source source{std::istringstream(text), 0, 0, {}};
     const int bad_line = ini_parse_stream(read_line, &source, on_key, &source);
+    if (source.too_long_ != 0)
+        return error{code::settings_unreadable,
+                     path + ":" + std::to_string(source.too_long_) + ": the line is too long"};
     if (bad_line != 0)
         return error{code::settings_unreadable,
                      path + ":" + std::to_string(bad_line) + ": not a 'key = value' line"};
--- a/src/caller/door.cpp
+++ b/src/caller/door.cpp
@@ -5,13 +5,34 @@
 namespace {
 
 constexpr duration tick_interval = std::chrono::milliseconds(20);
+constexpr std::size_t header_most = 16 * 1024; // bytes of a request's names and values
+constexpr std::size_t body_most = 1024 * 1024; // bytes
+
+// The library closes the connection above its own limits, without a word; so
+// these lie higher, and what is between is refused by its code.
+http::server_limits library_limits()
+{
+    constexpr std::size_t room = 4;
+    http::server_limits limits;
+    limits.header_bytes_ = room * header_most;
+    limits.body_bytes_ = room * body_most;
+    return limits;
+}
+
+bool too_large(const http::request& r)
+{
+    std::size_t header_bytes = r.target_.size();
+    for (const http::header& h : r.headers_)
+        header_bytes += h.name_.size() + h.value_.size();
+    return header_bytes > header_most || r.body_.size() > body_most;
+}
 
 } // namespace
 
 door::door(event_loop& loop, metrics& counts, decide::entry decisions,
            std::function<void(const daemon_name&, const decide::entry_to_gate&, bool)> to_gate)
     : metrics_(counts), entry_(std::move(decisions)), to_gate_(std::move(to_gate)),
-      server_(loop, {}, [this](const std::shared_ptr<http::exchange>& e) { take_request(e); }),
+      server_(loop, library_limits(), [this](const std::shared_ptr<http::exchange>& e) { take_request(e); }),
       timer_(loop, [this] { tick(); })
 {
     timer_.arm(tick_interval);
@@ -24,6 +45,10 @@
 
 void door::take_request(const std::shared_ptr<http::exchange>& e)
 {
+    if (too_large(e->received())) {
+        ++metrics_.counter("guavahaven_requests_too_large_total");
+        return e->reply(decide::error_response(code::request_too_large));
+    }
     last_exchange_ = last_exchange_.next();
     const decide::exchange_id id = last_exchange_;
     exchanges_.emplace(id, e);
--- a/src/main/guavahaven.cpp
+++ b/src/main/guavahaven.cpp
@@ -112,7 +112,17 @@
 
     explicit platform_session(const http::address& at) : store_(loop_, at), publisher_(store_) {}
 
+    // platform_malformed if the platform's object holds no configuration.
     result<operators::published> read()
+    {
+        auto found = read_to_replace();
+        if (ok(found) && value(found).malformed_)
+            return error{code::platform_malformed, "the configuration"};
+        return found;
+    }
+
+    // The same, but a malformed object is no error, as it is to be written over.
+    result<operators::published> read_to_replace()
     {
         return wait_for<operators::published>(loop_, [&](auto h) { publisher_.read(h); });
     }
@@ -280,9 +290,12 @@
     if (!ok(at))
         return report(failure(at), wrong_usage);
     platform_session session(value(at));
-    const auto base = session.read();
+    const auto base = session.read_to_replace();
     if (!ok(base))
         return report(failure(base), unreachable);
+    // What a malformed object was, only the daemons know: the number must be above theirs.
+    if (value(base).malformed_ && !args.at("--daemon"))
+        return report({code::platform_malformed, "the configuration"}, refused);
     configuration_number above;
     if (args.at("--daemon")) {
         const auto highest = highest_in_force(session.loop_, args);
@@ -429,6 +442,7 @@
 
 int history(const arguments& args)
 {
+    long left = args.at("--count").asLong();
     const auto at = platform_of(args);
     if (!ok(at))
         return report(failure(at), wrong_usage);
@@ -437,7 +451,6 @@
     if (!ok(now))
         return report(failure(now), unreachable);
     json all = json::array();
-    long left = args.at("--count").asLong();
     for (std::uint64_t n = value(now).record_.number_.value(); n > 0 && left > 0; --n, --left) {
         const auto past = wait_for<decide::configuration_record>(
             session.loop_, [&](auto h) { session.publisher_.read_past(configuration_number(n), h); });
--- a/src/operator/publisher.cpp
+++ b/src/operator/publisher.cpp
@@ -22,7 +22,7 @@
                        return handler(failure(found));
                    const auto record = platform::to_record(value(found).bytes_);
                    if (!ok(record))
-                       return handler(failure(record));
+                       return handler(published{value(found).version_, {}, true});
                    handler(published{value(found).version_, value(record)});
                });
 }
--- a/src/operator/publisher.h
+++ b/src/operator/publisher.h
@@ -16,6 +16,7 @@
 struct published {
     std::uint64_t object_version_ = 0; // 0: no object yet
     decide::configuration_record record_;
+    bool malformed_ = false; // the object holds no configuration; a write may replace it
 
     friend bool operator==(const published&, const published&) = default;
 };
--- a/src/operator/rules.cpp
+++ b/src/operator/rules.cpp
@@ -361,9 +361,18 @@
             fault({number, f->column_, f->error_});
     }
 
+    // True if other lines may mean this one by its name, so that a fault in it
+    // must not fault them too.
+    static bool named(const class_rule& r) { return !r.name_.empty(); }
+    static bool named(const service_rule& r) { return !r.name_.empty(); }
+    static bool named(const auto&) { return false; }
+
+    // A faulty line gets no further faults by what it names.
     template <class Rule>
-    static void keep(std::vector<Rule>& rules, Rule rule, const origin& from)
+    static void keep(std::vector<Rule>& rules, Rule rule, const line_reader& in, const origin& from)
     {
+        if (in.failed() && !named(rule))
+            return;
         rule.origin_ = from;
         rules.push_back(std::move(rule));
     }
@@ -371,21 +380,21 @@
     void read_rule(const std::string& kind, line_reader& in, const origin& from)
     {
         if (kind == "class")
-            keep(rules_.classes_, read_class(in), from);
+            keep(rules_.classes_, read_class(in), in, from);
         else if (kind == "service")
-            keep(rules_.services_, read_service(in), from);
+            keep(rules_.services_, read_service(in), in, from);
         else if (kind == "route")
-            keep(rules_.routes_, read_route(in), from);
+            keep(rules_.routes_, read_route(in), in, from);
         else if (kind == "split")
-            keep(rules_.splits_, read_split(in), from);
+            keep(rules_.splits_, read_split(in), in, from);
         else if (kind == "limit")
-            keep(rules_.limits_, read_limit(in), from);
+            keep(rules_.limits_, read_limit(in), in, from);
         else if (kind == "retry")
-            keep(rules_.retries_, read_retry(in), from);
+            keep(rules_.retries_, read_retry(in), in, from);
         else if (kind == "move")
-            keep(rules_.moves_, read_move(in), from);
+            keep(rules_.moves_, read_move(in), in, from);
         else if (kind == "out")
-            keep(rules_.outs_, read_out(in), from);
+            keep(rules_.outs_, read_out(in), in, from);
         else
             in.reject("unknown rule '" + kind +
                       "'; known are class, service, route, split, limit, retry, move, out");
