--- a/src/backend/door.cpp
+++ b/src/backend/door.cpp
@@ -2,6 +2,7 @@
 
 #include <charconv>
 
+#include "base/hash.h"
 #include "base/log.h"
 
 namespace guavahaven::backend {
@@ -24,11 +25,8 @@
 
 } // namespace
 
-door::door(event_loop& loop, metrics& counts, const settings& s, data_center_name data_center,
-           std::function<void(const daemon_name&, decide::gate_to_entry)> to_entry,
-           std::function<void(decide::own_backend)> announced)
-    : loop_(loop), metrics_(counts), settings_(s), gate_(std::move(data_center)),
-      to_entry_(std::move(to_entry)), announced_(std::move(announced)),
+door::door(event_loop& loop, metrics& counts, const settings& s, decide::gate decisions, outlets out)
+    : loop_(loop), metrics_(counts), settings_(s), gate_(std::move(decisions)), out_(std::move(out)),
       server_(loop, {}, [this](const std::shared_ptr<http::exchange>& e) { take_announcement(*e); }),
       timer_(loop, [this] { tick(); })
 {
@@ -54,22 +52,32 @@
         return e.reply(
             {400, {}, to_string(error{code::request_malformed, "not a valid announcement"}) + "\n"});
 
-    const http::address at{settings_.listen_.ip_, static_cast<std::uint16_t>(*port)};
-    if (!backend_ || at != backend_address_) {
-        backend_address_ = at;
-        backend_ = std::make_unique<http::client>(loop_, at, *connections,
-                                                  error{code::backend_unreachable, http::to_string(at)});
-    }
+    connect({settings_.listen_.ip_, static_cast<std::uint16_t>(*port)}, *connections);
     const bool draining = http::query_parameter(target, "state") == "draining";
     if (!present_)
         log_info("backend", "announced", "service=" + service.str() + " version=" + version.str());
     present_ = true;
     last_announcement_ = clock_.now();
-    handle(decide::backend_announced{service, version, *slots, *connections, draining});
-    announced_({service, version, *slots, draining});
+    const std::uint64_t start = hash(http::query_parameter(target, "start"));
+    handle(decide::backend_announced{service, version, *slots, *connections, draining, start});
+    out_.announced_({service, version, *slots, draining});
     e.reply({200, {}, ""});
 }
 
+// Requests that are under way at another address end there.
+void door::connect(const http::address& at, std::uint32_t connections)
+{
+    if (backend_ && at == backend_address_ && connections == connections_)
+        return;
+    if (backend_)
+        former_.push_back(std::move(backend_));
+    backend_address_ = at;
+    connections_ = connections;
+    backend_ = std::make_unique<http::client>(loop_, at, connections,
+                                              error{code::backend_unreachable, http::to_string(at)},
+                                              error{code::answer_incomplete, http::to_string(at)});
+}
+
 void door::handle(const decide::gate_event& e)
 {
     apply(gate_.handle(e, clock_.now()));
@@ -85,6 +93,8 @@
 {
     ++metrics_.counter("guavahaven_gate_runs_total");
     const auto answered = [this, run = a.run_](const result<http::response>& r) {
+        if (!ok(r) && failure(r).code_ == code::backend_unreachable)
+            return handle(decide::run_not_sent{run});
         if (!ok(r))
             return handle(decide::run_broken{run});
         http::response whole = value(r);
@@ -93,17 +103,27 @@
     };
     if (!backend_)
         return handle(decide::run_not_sent{a.run_});
-    backend_->send(a.request_, a.timeout_, answered);
+    backend_->send(a.run_.value(), a.request_, a.timeout_, answered);
 }
 
-void door::apply(const decide::abort_run&)
+// Closing its connection tells the backend server.
+void door::apply(const decide::abort_run& a)
 {
     ++metrics_.counter("guavahaven_gate_cancelled_total");
+    if (backend_)
+        backend_->cancel(a.run_.value());
+    for (const auto& client : former_)
+        client->cancel(a.run_.value());
 }
 
 void door::apply(const decide::send_to_entry& a)
 {
-    to_entry_(a.to_, a.message_);
+    out_.to_entry_(a.to_, a.message_);
+}
+
+void door::apply(const decide::send_to_peer_gate& a)
+{
+    out_.to_gate_(a.to_, a.message_);
 }
 
 void door::tick()
@@ -112,9 +132,10 @@
         present_ = false;
         log_warning("backend", "lost", "reason=no_announcement");
         handle(decide::backend_lost{});
-        announced_({});
+        out_.announced_({});
     }
     handle(decide::gate_tick{});
+    std::erase_if(former_, [](const auto& client) { return client->in_flight() == 0; });
     timer_.arm(tick_interval);
 }
 
--- a/src/backend/door.h
+++ b/src/backend/door.h
@@ -3,13 +3,14 @@
 // The task that talks to the backend server beside this daemon: takes its
 // announcements, gives it requests, and feeds the gate's decisions.
 //
-//   POST /announce?service=S&version=V&port=P&slots=N&connections=N[&state=draining]
+//   POST /announce?service=S&version=V&port=P&slots=N&connections=N[&state=draining][&start=ID]
 //        answered 200; repeated by the backend server as its heartbeat
 
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <vector>
 
 #include "base/http.h"
 #include "base/metrics.h"
@@ -25,11 +26,15 @@
         duration announcement_timeout_{};
     };
 
-    // to_entry passes a gate's message to the entry that asked; announced tells
-    // the control task of the backend server.
-    door(event_loop& loop, metrics& counts, const settings& s, data_center_name data_center,
-         std::function<void(const daemon_name&, decide::gate_to_entry)> to_entry,
-         std::function<void(decide::own_backend)> announced);
+    // to_entry passes a gate's message to the entry that asked, to_gate one to
+    // another gate; announced tells the control task of the backend server.
+    struct outlets {
+        std::function<void(const daemon_name&, decide::gate_to_entry)> to_entry_;
+        std::function<void(const daemon_name&, const decide::gate_to_gate&)> to_gate_;
+        std::function<void(decide::own_backend)> announced_;
+    };
+
+    door(event_loop& loop, metrics& counts, const settings& s, decide::gate decisions, outlets out);
 
     status listen();
     void handle(const decide::gate_event& e);
@@ -43,6 +48,8 @@
     void apply(const decide::start_run& a);
     void apply(const decide::abort_run& a);
     void apply(const decide::send_to_entry& a);
+    void apply(const decide::send_to_peer_gate& a);
+    void connect(const http::address& at, std::uint32_t connections);
     void tick();
 
     event_loop& loop_;
@@ -50,11 +57,12 @@
     settings settings_;
     runtime_clock clock_;
     decide::gate gate_;
-    std::function<void(const daemon_name&, decide::gate_to_entry)> to_entry_;
-    std::function<void(decide::own_backend)> announced_;
+    outlets out_;
     http::server server_;
     std::unique_ptr<http::client> backend_;
+    std::vector<std::unique_ptr<http::client>> former_; // of other addresses, with requests under way
     http::address backend_address_;
+    std::uint32_t connections_ = 0;
     time_point last_announcement_{};
     bool present_ = false;
     timer timer_;
--- a/src/base/http.cpp
+++ b/src/base/http.cpp
@@ -282,10 +282,14 @@
     client& owner_;
     std::unique_ptr<evhttp_connection, detail::connection_deleter> connection_;
     response_handler handler_;
+    std::uint64_t ticket_ = 0;
+    bool sent_ = false; // bytes of the request were given to the system
 };
 
-client::client(event_loop& loop, address to, std::size_t most_connections, error unreachable)
-    : loop_(loop), to_(std::move(to)), most_(most_connections), unreachable_(std::move(unreachable))
+client::client(event_loop& loop, address to, std::size_t most_connections, error unreachable,
+               std::optional<error> broken)
+    : loop_(loop), to_(std::move(to)), most_(most_connections), unreachable_(std::move(unreachable)),
+      broken_(broken.value_or(unreachable_))
 {
 }
 
@@ -298,23 +302,52 @@
 }
 
 void client::send(request r, duration timeout, response_handler h)
+{
+    send(0, std::move(r), timeout, std::move(h));
+}
+
+void client::send(std::uint64_t ticket, request r, duration timeout, response_handler h)
 {
     const auto free = std::find_if(slots_.begin(), slots_.end(), [](const auto& s) { return !s->handler_; });
     if (free != slots_.end())
-        return start(**free, std::move(r), timeout, std::move(h));
+        return start(**free, ticket, std::move(r), timeout, std::move(h));
     if (slots_.size() >= most_) {
-        waiting_.push_back({std::move(r), timeout, std::move(h)});
+        waiting_.push_back({ticket, std::move(r), timeout, std::move(h)});
         return;
     }
     slots_.push_back(std::make_unique<slot>(slot{*this, nullptr, nullptr}));
-    slots_.back()->connection_.reset(
-        evhttp_connection_base_new(loop_.base(), nullptr, to_.ip_.c_str(), to_.port_));
-    start(*slots_.back(), std::move(r), timeout, std::move(h));
+    slot& opened = *slots_.back();
+    opened.connection_.reset(evhttp_connection_base_new(loop_.base(), nullptr, to_.ip_.c_str(), to_.port_));
+    evbuffer* out = bufferevent_get_output(evhttp_connection_get_bufferevent(opened.connection_.get()));
+    evbuffer_add_cb(out, &client::written, &opened);
+    start(opened, ticket, std::move(r), timeout, std::move(h));
+}
+
+// A request waits outside this buffer until its connection is open; whatever
+// leaves the buffer may have reached the other end.
+void client::written(evbuffer*, const evbuffer_cb_info* info, void* at)
+{
+    if (info->n_deleted > 0)
+        static_cast<slot*>(at)->sent_ = true;
+}
+
+void client::cancel(std::uint64_t ticket)
+{
+    std::erase_if(waiting_, [ticket](const waiting_request& w) { return w.ticket_ == ticket; });
+    const auto at = std::find_if(slots_.begin(), slots_.end(), [ticket](const auto& s) {
+        return s->handler_ != nullptr && s->ticket_ == ticket;
+    });
+    if (at == slots_.end())
+        return;
+    slots_.erase(at);
+    start_next();
 }
 
-void client::start(slot& at, request r, duration timeout, response_handler h)
+void client::start(slot& at, std::uint64_t ticket, request r, duration timeout, response_handler h)
 {
     at.handler_ = std::move(h);
+    at.ticket_ = ticket;
+    at.sent_ = false;
     evhttp_connection* connection = at.connection_.get();
     const timeval wait{static_cast<time_t>(timeout.count() / 1'000'000),
                        static_cast<suseconds_t>(timeout.count() % 1'000'000)};
@@ -336,7 +369,7 @@
 {
     auto& s = *static_cast<slot*>(at);
     client& owner = s.owner_;
-    result<response> answer = owner.unreachable_;
+    result<response> answer = s.sent_ ? owner.broken_ : owner.unreachable_;
     if (raw && evhttp_request_get_response_code(raw) != 0)
         answer = response{evhttp_request_get_response_code(raw),
                           detail::copy_headers(evhttp_request_get_input_headers(raw)),
@@ -352,7 +385,7 @@
         return;
     waiting_request next = std::move(waiting_.front());
     waiting_.erase(waiting_.begin());
-    send(std::move(next.request_), next.timeout_, std::move(next.handler_));
+    send(next.ticket_, std::move(next.request_), next.timeout_, std::move(next.handler_));
 }
 
 } // namespace guavahaven::http
--- a/src/base/http.h
+++ b/src/base/http.h
@@ -3,11 +3,13 @@
 // HTTP over evhttp: a small server and a client with reused connections, both
 // on the process's event loop.
 
+#include <event2/buffer.h>
 #include <event2/http.h>
 
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -141,7 +143,11 @@
 // each reused. Requests beyond wait in order.
 class client {
 public:
-    client(event_loop& loop, address to, std::size_t most_connections, error unreachable);
+    //
+    // 'broken' is the error when bytes of the request were written, so that it
+    // may have run; it is 'unreachable' too if not given.
+    client(event_loop& loop, address to, std::size_t most_connections, error unreachable,
+           std::optional<error> broken = {});
     ~client();
     client(const client&) = delete;
     client& operator=(const client&) = delete;
@@ -149,6 +155,11 @@
     // The handler gets the response, or the client's 'unreachable' error when
     // none or only part of one came within the timeout.
     void send(request r, duration timeout, response_handler h);
+    // The same, with a ticket to cancel it by.
+    void send(std::uint64_t ticket, request r, duration timeout, response_handler h);
+    // Forgets a request, closing its connection if it is under way; its handler
+    // is not called.
+    void cancel(std::uint64_t ticket);
 
     std::size_t in_flight() const;
 
@@ -156,10 +167,12 @@
     struct slot;
 
     static void done(evhttp_request* raw, void* at);
-    void start(slot& at, request r, duration timeout, response_handler h);
+    static void written(evbuffer*, const evbuffer_cb_info* info, void* at);
+    void start(slot& at, std::uint64_t ticket, request r, duration timeout, response_handler h);
     void start_next();
 
     struct waiting_request {
+        std::uint64_t ticket_ = 0; // 0: cannot be cancelled
         request request_;
         duration timeout_;
         response_handler handler_;
@@ -169,6 +182,7 @@
     address to_;
     std::size_t most_;
     error unreachable_;
+    error broken_;
     std::vector<std::unique_ptr<slot>> slots_;
     std::vector<waiting_request> waiting_;
 };
--- a/src/decide/call.h
+++ b/src/decide/call.h
@@ -35,8 +35,11 @@
 // entry -> gate: run this request.
 struct call {
     call_id id_;
-    std::string identity_; // idempotency key, or one made up by the entry
-    bool once_ = false;    // must not run twice
+    incarnation gate_;                 // of the gate that is meant; a later one refuses
+    std::string identity_;             // idempotency key, or one made up by the entry
+    bool keyed_ = false;               // the identity is the caller's own key
+    std::uint64_t request_number_ = 0; // sequence of the first attempt of the same request
+    bool once_ = false;                // must not run twice
     service_name service_;
     version_name version_;
     class_name class_;
@@ -77,6 +80,7 @@
     call_id id_;
     code code_ = code::not_run;
     load_report load_;
+    int earlier_status_ = 0; // of an earlier run under the same idempotency key; 0 if not known
     friend bool operator==(const refusal&, const refusal&) = default;
 };
 
@@ -99,6 +103,7 @@
 // run, it must not run any more.
 struct fence {
     call_id id_;
+    incarnation gate_; // that the call was sent to
     friend bool operator==(const fence&, const fence&) = default;
 };
 
@@ -107,11 +112,13 @@
     never_ran, // and never will
     running,   // its answer will follow on this connection
     ran,       // and its answer is gone
+    unknown,   // this gate can't know, for it was started later or has forgotten
 };
 
 // gate -> entry
 struct fence_verdict {
     call_id id_;
+    incarnation gate_; // that answers
     fate fate_ = fate::never_ran;
     friend bool operator==(const fence_verdict&, const fence_verdict&) = default;
 };
--- a/src/decide/configuration.h
+++ b/src/decide/configuration.h
@@ -131,6 +131,7 @@
 struct configuration {
     configuration_number number_;
     content_hash hash_;
+    std::uint64_t written_at_ = 0; // microseconds since 1970, by the author's clock
     std::string text_;
     std::vector<class_rule> classes_;
     std::vector<service_rule> services_;
--- a/src/decide/entry.cpp
+++ b/src/decide/entry.cpp
@@ -107,6 +107,7 @@
     r.call_.request_ = e.request_;
     r.call_.version_ = choose_version(route->service_);
     r.call_.identity_ = http::find_header(e.request_.headers_, key_header);
+    r.call_.keyed_ = !r.call_.identity_.empty();
     attempt(r, now, code::no_backend_server);
 }
 
@@ -177,6 +178,9 @@
     if (r.call_.identity_.empty())
         r.call_.identity_ =
             self_.str() + "/" + std::to_string(started_.value()) + "/" + std::to_string(last_sequence_);
+    if (r.call_.request_number_ == 0)
+        r.call_.request_number_ = last_sequence_;
+    r.call_.gate_ = incarnation_of(*gate);
     r.call_.remaining_ = r.deadline_ - now;
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(r.call_.remaining_);
     set_header(r.call_.request_, deadline_header, std::to_string(left.count()));
@@ -234,7 +238,9 @@
 void entry::take(request_state& r, const refusal& m, time_point now)
 {
     gates_[r.gate_].load_ = m.load_;
-    if (m.code_ == code::duplicate_request || m.code_ == code::suspect_request)
+    if (m.code_ == code::duplicate_request)
+        return tell_duplicate(r, now, m.earlier_status_);
+    if (m.code_ == code::suspect_request)
         return fail(r, now, m.code_);
     try_elsewhere(r, now, m.code_);
 }
@@ -251,6 +257,7 @@
     case fate::never_ran:
         return try_elsewhere(r, now, code::not_run);
     case fate::ran:
+    case fate::unknown:
         return settle_broken(r, now, code::outcome_unknown);
     case fate::running:
         r.received_ = true;
@@ -299,7 +306,7 @@
 {
     r.fenced_ = true;
     r.sent_ = now;
-    actions_.push_back(send_to_gate{r.gate_, fence{r.call_.id_}, true});
+    actions_.push_back(send_to_gate{r.gate_, fence{r.call_.id_, r.call_.gate_}, true});
 }
 
 void entry::on(const entry_view_changed& e, time_point)
@@ -336,6 +343,23 @@
     end(r, now, why);
 }
 
+// A caller that repeats a request learns how the first one ended.
+void entry::tell_duplicate(request_state& r, time_point now, int earlier_status)
+{
+    http::response told = error_response(code::duplicate_request);
+    if (earlier_status != 0)
+        told.headers_.push_back({std::string(earlier_status_header), std::to_string(earlier_status)});
+    actions_.push_back(reply{r.exchange_, std::move(told), true});
+    end(r, now, code::duplicate_request);
+}
+
+incarnation entry::incarnation_of(const daemon_name& gate) const
+{
+    const auto same = [&](const member& m) { return m.name_ == gate; };
+    const auto at = std::find_if(view_->members_.begin(), view_->members_.end(), same);
+    return at == view_->members_.end() ? incarnation() : at->incarnation_;
+}
+
 void entry::end(request_state& r, time_point now, code result)
 {
     actions_.push_back(request_ended{r.call_.class_, result, now - r.started_});
--- a/src/decide/entry.h
+++ b/src/decide/entry.h
@@ -87,6 +87,8 @@
 inline constexpr std::string_view deadline_header = "Request-Timeout-Ms"; // time left
 inline constexpr std::string_view depth_header = "Call-Depth";
 inline constexpr std::string_view identity_header = "Request-Id";
+// Status of an earlier answer under the same idempotency key.
+inline constexpr std::string_view earlier_status_header = "Guavahaven-Earlier-Status";
 inline constexpr std::string_view result_header = "Guavahaven-Result"; // numbered result code
 
 // The HTTP answer that tells a caller of a result code.
@@ -141,6 +143,8 @@
     void try_elsewhere(request_state& r, time_point now, code why);
     // After an attempt that may have run.
     void settle_broken(request_state& r, time_point now, code why);
+    void tell_duplicate(request_state& r, time_point now, int earlier_status);
+    incarnation incarnation_of(const daemon_name& gate) const;
     void ask_fate(request_state& r, time_point now);
     void fail(request_state& r, time_point now, code why);
     void end(request_state& r, time_point now, code result);
--- a/src/decide/gate.cpp
+++ b/src/decide/gate.cpp
@@ -2,19 +2,27 @@
 
 #include <algorithm>
 
+#include "base/hash.h"
+
 namespace guavahaven::decide {
 
 namespace {
 
-constexpr double cold_limit = 2;          // calls at once after a start
-constexpr std::size_t waiting_most = 256; // calls that wait for a slot
-constexpr duration remember_identity = std::chrono::minutes(10);
-constexpr duration remember_fence = std::chrono::minutes(1);
-constexpr int status_shed = 503; // the backend server's own refusal
+constexpr int status_shed = 503;        // the backend server's own refusal
+constexpr std::size_t waiters_most = 8; // attempts that share the answer of one run
+constexpr std::uint64_t first_configuration = 1;
+
+std::uint64_t fingerprint(const http::request& r)
+{
+    return hash(r.body_, hash(r.target_, hash(r.method_)));
+}
 
 } // namespace
 
-gate::gate(data_center_name data_center) : data_center_(std::move(data_center)) {}
+gate::gate(daemon_name self, incarnation started, data_center_name data_center, time_point now)
+    : self_(std::move(self)), started_(started), data_center_(std::move(data_center)), registry_(now)
+{
+}
 
 gate_actions gate::handle(const gate_event& event, time_point now)
 {
@@ -24,7 +32,7 @@
 
 bool gate::busy() const
 {
-    return !running_.empty() || !waiting_.empty();
+    return !running_.empty() || !waiting_.empty() || !claiming_.empty();
 }
 
 bool gate::serving() const
@@ -35,34 +43,42 @@
 load_report gate::load() const
 {
     return {static_cast<std::uint32_t>(running_.size()), static_cast<std::uint32_t>(waiting_.size()),
-            static_cast<std::uint32_t>(limit_)};
+            limit_.value()};
 }
 
-void gate::on(const backend_announced& e, time_point)
+void gate::on(const backend_announced& e, time_point now)
 {
-    const bool fresh = !backend_ || backend_->version_ != e.version_ || backend_->service_ != e.service_;
+    const bool fresh = !backend_ || backend_->version_ != e.version_ || backend_->service_ != e.service_ ||
+                       backend_->start_ != e.start_;
+    limit_.set_most(e.slots_, e.connections_);
     if (fresh)
-        limit_ = cold_limit;
+        limit_.cold_start(now);
     backend_ = e;
+    if (!e.draining_)
+        return;
+    for (const held_call& held : waiting_.take_all())
+        refuse(held, code::draining, now);
 }
 
-void gate::on(const backend_lost&, time_point)
+void gate::on(const backend_lost&, time_point now)
 {
     backend_.reset();
-    for (const held_call& held : std::exchange(waiting_, {}))
-        refuse(held.from_, held.call_.id_, code::backend_unreachable);
+    for (const held_call& held : waiting_.take_all())
+        refuse(held, code::backend_unreachable, now);
 }
 
-void gate::on(const stop_requested&, time_point)
+void gate::on(const stop_requested&, time_point now)
 {
     stopping_ = true;
+    for (const held_call& held : waiting_.take_all())
+        refuse(held, code::draining, now);
 }
 
 void gate::on(const call_message& e, time_point now)
 {
     std::visit(guavahaven::overloaded{
                    [&](const call& c) { take_call(e.from_, c, now); },
-                   [&](const cancel& c) { take_cancel(e.from_, c); },
+                   [&](const cancel& c) { take_cancel(e.from_, c, now); },
                    [&](const fence& f) { take_fence(e.from_, f, now); },
                },
                e.message_);
@@ -91,67 +107,170 @@
 
 void gate::take_call(const daemon_name& from, const call& c, time_point now)
 {
+    const call_key key{from, c.id_};
+    // An attempt that is known comes first: a refusal must not be said of one that runs.
+    if (take_again(key))
+        return;
+    if (c.gate_ != started_)
+        return refuse(key, code::not_run, now);
     if (const code why = admission(c); why != code::ok)
-        return refuse(from, c.id_, why);
-    if (fenced_.contains(c.id_))
-        return refuse(from, c.id_, code::not_run);
-    if (c.once_ && identities_.contains(c.identity_))
-        return refuse(from, c.id_, code::duplicate_request);
+        return refuse(key, why, now);
+    if (take_repeat(key, c, now))
+        return;
 
+    held_call held = make_held(key, c, now);
+    if (too_late(held, now))
+        return refuse(key, code::overloaded, now);
+    if (c.once_ && !remember_once(held))
+        return refuse(key, code::overloaded, now);
     send(from, receipt{c.id_});
-    held_call held{from, c, now + c.remaining_};
-    if (static_cast<double>(running_.size()) + 1 <= limit_)
-        return start(std::move(held), now);
-    if (waiting_.size() >= waiting_most)
-        return refuse(from, c.id_, code::overloaded);
-    waiting_.push_back(std::move(held));
+    if (c.once_ && c.keyed_)
+        return claim_key(std::move(held), now);
+    enqueue(std::move(held), now);
 }
 
-void gate::start(held_call held, time_point now)
+bool gate::take_again(const call_key& key)
 {
-    last_run_ = last_run_.next();
-    if (held.call_.once_)
-        identities_[held.call_.identity_] = {held.call_.id_, now + remember_identity};
-    actions_.push_back(start_run{last_run_, held.call_.request_, held.deadline_ - now});
-    running_.emplace(last_run_, std::move(held));
+    if (find_held(key)) {
+        send(key.entry_, receipt{key.id_});
+        return true;
+    }
+    const std::optional<fate> known = calls_.find(key);
+    if (!known)
+        return false;
+    if (*known == fate::never_ran)
+        send(key.entry_, refusal{key.id_, code::not_run, load(), 0});
+    if (*known == fate::unknown)
+        send(key.entry_, broken{key.id_, code::outcome_unknown, load()});
+    return true;
+}
+
+bool gate::take_repeat(const call_key& key, const call& c, time_point now)
+{
+    if (!c.once_)
+        return false;
+    const std::string identity = scoped_identity(c);
+    const known_run* known = keys_.find(identity);
+    if (!known)
+        return false;
+    held_call* held = known->ended_ ? nullptr : find_held_identity(identity);
+    const bool shares = held && !held->answering_ && held->waiters_.size() < waiters_most &&
+                        known->fingerprint_ == fingerprint(c.request_);
+    if (shares) {
+        held->waiters_.push_back({key, false});
+        send(key.entry_, receipt{key.id_});
+        return true;
+    }
+    if (known->ended_ && known->status_ == 0) {
+        calls_.note_never_runs(key, now);
+        send(key.entry_, broken{key.id_, code::outcome_unknown, load()});
+        return true;
+    }
+    refuse(key, code::duplicate_request, now, known->status_);
+    return true;
+}
+
+held_call gate::make_held(const call_key& key, const call& c, time_point now) const
+{
+    held_call held;
+    held.waiters_.push_back({key, false});
+    held.call_ = c;
+    held.deadline_ = now + c.remaining_;
+    const class_rule* rule = view_->configuration_->find_class(c.class_);
+    if (!rule)
+        return held;
+    held.shed_ = rule->shed_;
+    held.keep_ = rule->keep_;
+    held.weight_ = rule->weight_;
+    return held;
+}
+
+bool gate::remember_once(const held_call& held)
+{
+    known_run run;
+    run.attempt_ = held.waiters_.front().key_;
+    run.request_ = held.call_.request_number_;
+    run.fingerprint_ = fingerprint(held.call_.request_);
+    run.until_ = held.deadline_ + remember_identity;
+    return keys_.begin(scoped_identity(held.call_), run);
+}
+
+bool gate::too_late(const held_call& held, time_point now) const
+{
+    if (now >= held.deadline_)
+        return true;
+    if (held.keep_ || limit_.admits(running_.size() + waiting_.size(), now))
+        return false;
+    const auto before = static_cast<duration::rep>(waiting_.ahead_of(held.shed_) + 1);
+    const duration wait = limit_.mean_run() * before / std::max<duration::rep>(1, limit_.value());
+    return now + wait + limit_.mean_run() > held.deadline_;
+}
+
+void gate::enqueue(held_call held, time_point now)
+{
+    for (const held_call& refused : waiting_.push(std::move(held)))
+        refuse(refused, code::overloaded, now);
+    start_waiting(now);
 }
 
 void gate::start_waiting(time_point now)
 {
-    while (!waiting_.empty() && static_cast<double>(running_.size()) + 1 <= limit_) {
-        held_call next = std::move(waiting_.front());
-        waiting_.pop_front();
+    while (!waiting_.empty() && limit_.admits(running_.size(), now)) {
+        held_call next = std::move(*waiting_.pop());
         if (next.deadline_ <= now)
-            refuse(next.from_, next.call_.id_, code::deadline_exceeded);
+            refuse(next, code::deadline_exceeded, now);
         else if (const code why = admission(next.call_); why != code::ok)
-            refuse(next.from_, next.call_.id_, why);
+            refuse(next, why, now);
         else
             start(std::move(next), now);
     }
 }
 
-void gate::take_cancel(const daemon_name& from, const cancel& c)
+void gate::start(held_call held, time_point now)
 {
-    const auto same = [&](const held_call& h) { return h.from_ == from && h.call_.id_ == c.id_; };
-    std::erase_if(waiting_, same);
-    // Work that must not run twice is left to end, so that its outcome stays known.
-    for (const auto& [run, held] : running_)
-        if (same(held) && !held.call_.once_)
-            actions_.push_back(abort_run{run});
+    last_run_ = last_run_.next();
+    limit_.started(last_run_, running_.size());
+    held.started_ = now;
+    actions_.push_back(start_run{last_run_, held.call_.request_, held.deadline_ - now});
+    running_.emplace(last_run_, std::move(held));
 }
 
-void gate::take_fence(const daemon_name& from, const fence& f, time_point now)
+void gate::take_cancel(const daemon_name& from, const cancel& c, time_point now)
 {
-    const auto same = [&](const held_call& h) { return h.call_.id_ == f.id_; };
-    for (auto& [run, held] : running_) {
-        if (same(held))
-            return send(from, fence_verdict{f.id_, fate::running});
+    const call_key key{from, c.id_};
+    held_call* held = find_held(key);
+    if (!held)
+        return;
+    for (held_call::waiter& w : held->waiters_)
+        w.gone_ = w.gone_ || w.key_ == key;
+    if (!held->abandoned())
+        return;
+    if (const auto running = find_running(key); running != running_.end()) {
+        // Work that must not run twice is left to end, so that its outcome stays known.
+        if (held->call_.once_)
+            return;
+        actions_.push_back(abort_run{running->first});
+        limit_.ended(running->first);
+        return end_run(running, 0, now);
     }
-    const bool ran = std::any_of(identities_.begin(), identities_.end(),
-                                 [&](const auto& known) { return known.second.id_ == f.id_; });
-    std::erase_if(waiting_, same);
-    fenced_[f.id_] = now + remember_fence;
-    send(from, fence_verdict{f.id_, ran ? fate::ran : fate::never_ran});
+    if (const std::optional<held_call> waiting = waiting_.take(key))
+        return withdraw(*waiting, now);
+    give_up_claim(held->waiters_.front().key_, code::not_run, 0, now);
+}
+
+void gate::take_fence(const daemon_name& from, const fence& f, time_point now)
+{
+    const auto say = [&](fate known) { send(from, fence_verdict{f.id_, started_, known}); };
+    const call_key key{from, f.id_};
+    if (f.gate_ != started_)
+        return say(fate::unknown);
+    if (const auto running = find_running(key); running != running_.end())
+        return say(fate::running);
+    take_cancel(from, cancel{f.id_}, now);
+    const std::optional<fate> known = calls_.find(key);
+    if (!known)
+        calls_.note_never_runs(key, now);
+    say(known.value_or(fate::never_ran));
 }
 
 void gate::on(const run_answered& e, time_point now)
@@ -159,13 +278,21 @@
     const auto at = running_.find(e.run_);
     if (at == running_.end())
         return;
-    if (e.response_.status_ == status_shed)
-        shrink_limit();
+    held_call& held = at->second;
+    const bool shed = e.response_.status_ == status_shed;
+    if (shed)
+        limit_.shed(e.run_, held.started_, now);
+    else
+        limit_.answered(e.run_, held.call_.route_, now - held.started_, now);
+    // What may be repeated is better sent elsewhere than told that this server is busy.
+    if (shed && e.complete_ && !held.call_.once_)
+        answer_all(held, [&](call_id id) { return broken{id, code::backend_failed, load()}; });
     else
-        grow_limit();
-    send(at->second.from_, answer{at->second.call_.id_, load(), e.response_, e.complete_});
+        answer_all(held, [&](call_id id) { return answer{id, load(), e.response_, e.complete_}; });
     if (e.complete_)
-        end_run(at, now);
+        return end_run(at, e.response_.status_, now);
+    held.answering_ = true;
+    held.status_ = e.response_.status_;
 }
 
 void gate::on(const run_continued& e, time_point now)
@@ -173,9 +300,9 @@
     const auto at = running_.find(e.run_);
     if (at == running_.end())
         return;
-    send(at->second.from_, answer_part{at->second.call_.id_, e.bytes_, e.complete_});
+    answer_all(at->second, [&](call_id id) { return answer_part{id, e.bytes_, e.complete_}; });
     if (e.complete_)
-        end_run(at, now);
+        end_run(at, at->second.status_, now);
 }
 
 void gate::on(const run_not_sent& e, time_point now)
@@ -183,11 +310,11 @@
     const auto at = running_.find(e.run_);
     if (at == running_.end())
         return;
-    if (at->second.call_.once_)
-        identities_.erase(at->second.call_.identity_);
-    shrink_limit();
-    refuse(at->second.from_, at->second.call_.id_, code::backend_unreachable);
-    end_run(at, now);
+    const held_call held = std::move(at->second);
+    running_.erase(at);
+    limit_.cold_start(now);
+    refuse(held, code::backend_unreachable, now);
+    start_waiting(now);
 }
 
 void gate::on(const run_broken& e, time_point now)
@@ -195,60 +322,103 @@
     const auto at = running_.find(e.run_);
     if (at == running_.end())
         return;
-    shrink_limit();
-    send(at->second.from_, broken{at->second.call_.id_, code::outcome_unknown, load()});
-    end_run(at, now);
+    if (now >= at->second.deadline_)
+        limit_.timed_out(e.run_, at->second.started_, now);
+    else
+        limit_.cold_start(now); // it has died, and comes back cold
+    answer_all(at->second, [&](call_id id) { return broken{id, code::outcome_unknown, load()}; });
+    end_run(at, 0, now);
 }
 
-void gate::end_run(std::map<run_id, held_call>::iterator at, time_point now)
+void gate::end_run(std::map<run_id, held_call>::iterator at, int status, time_point now)
 {
+    const held_call held = std::move(at->second);
     running_.erase(at);
+    for (const held_call::waiter& w : held.waiters_)
+        calls_.note_ran(w.key_, now);
+    if (held.call_.once_)
+        keys_.end(scoped_identity(held.call_), status, now);
+    tell_homes(held, true, status, now);
     start_waiting(now);
 }
 
 void gate::on(const gate_view_changed& e, time_point)
 {
     view_ = e.view_;
+    const configuration_ptr& c = view_->configuration_;
+    if (c && c->number_.value() == first_configuration && c->written_at_ > started_.value())
+        registry_.set_complete();
 }
 
 void gate::on(const gate_tick&, time_point now)
 {
-    for (auto at = waiting_.begin(); at != waiting_.end();) {
-        if (at->deadline_ > now) {
-            ++at;
-            continue;
-        }
-        refuse(at->from_, at->call_.id_, code::deadline_exceeded);
-        at = waiting_.erase(at);
-    }
-    forget(now);
+    for (const held_call& held : waiting_.take_expired(now))
+        refuse(held, code::deadline_exceeded, now);
+    give_up_claims(now);
+    start_waiting(now);
+    calls_.forget(now);
+    keys_.forget(now);
+    registry_.forget(now);
 }
 
-void gate::forget(time_point now)
+std::map<run_id, held_call>::iterator gate::find_running(const call_key& key)
 {
-    std::erase_if(identities_, [now](const auto& known) { return known.second.until_ <= now; });
-    std::erase_if(fenced_, [now](const auto& known) { return known.second <= now; });
+    return std::find_if(running_.begin(), running_.end(),
+                        [&](const auto& r) { return r.second.waited_for_by(key); });
 }
 
-void gate::refuse(const daemon_name& to, call_id id, code why)
+held_call* gate::find_held(const call_key& key)
 {
-    send(to, refusal{id, why, load()});
+    if (const auto running = find_running(key); running != running_.end())
+        return &running->second;
+    for (auto& [first, claiming] : claiming_)
+        if (claiming.held_.waited_for_by(key))
+            return &claiming.held_;
+    return waiting_.find(key);
 }
 
-void gate::send(const daemon_name& to, gate_to_entry message)
+held_call* gate::find_held_identity(const std::string& identity)
 {
-    actions_.push_back(send_to_entry{to, std::move(message)});
+    for (auto& [run, held] : running_)
+        if (held.call_.once_ && scoped_identity(held.call_) == identity)
+            return &held;
+    for (auto& [first, claiming] : claiming_)
+        if (scoped_identity(claiming.held_.call_) == identity)
+            return &claiming.held_;
+    return waiting_.find_identity(identity);
+}
+
+void gate::refuse(const held_call& held, code why, time_point now, int earlier_status)
+{
+    withdraw(held, now);
+    answer_all(held, [&](call_id id) { return refusal{id, why, load(), earlier_status}; });
+}
+
+void gate::refuse(const call_key& key, code why, time_point now, int earlier_status)
+{
+    calls_.note_never_runs(key, now);
+    send(key.entry_, refusal{key.id_, why, load(), earlier_status});
+}
+
+void gate::withdraw(const held_call& held, time_point now)
+{
+    for (const held_call::waiter& w : held.waiters_)
+        calls_.note_never_runs(w.key_, now);
+    if (held.call_.once_)
+        keys_.withdraw(scoped_identity(held.call_));
+    tell_homes(held, false, 0, now);
 }
 
-void gate::shrink_limit()
+void gate::answer_all(const held_call& held, const std::function<gate_to_entry(call_id)>& make)
 {
-    limit_ = std::max(1.0, limit_ / 2);
+    for (const held_call::waiter& w : held.waiters_)
+        if (!w.gone_)
+            send(w.key_.entry_, make(w.key_.id_));
 }
 
-void gate::grow_limit()
+void gate::send(const daemon_name& to, gate_to_entry message)
 {
-    const double most = backend_ ? backend_->slots_ : 1;
-    limit_ = std::min(most, limit_ + 1 / std::max(1.0, limit_));
+    actions_.push_back(send_to_entry{to, std::move(message)});
 }
 
 } // namespace guavahaven::decide
--- a/src/decide/gate.h
+++ b/src/decide/gate.h
@@ -4,21 +4,21 @@
 // daemon. It alone admits work there, so what it refuses has truly not run.
 // Typed events in, typed actions out; the time is passed in.
 
-#include <deque>
+#include <functional>
 #include <map>
-#include <set>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
-#include "decide/call.h"
+#include "decide/call_memory.h"
+#include "decide/call_queue.h"
+#include "decide/concurrency_limit.h"
+#include "decide/key_home.h"
 #include "decide/view.h"
 
 namespace guavahaven::decide {
 
-// One request given to the backend server; unique within this gate.
-using run_id = strong_number<struct run_tag>;
-
 // The backend server's own announcement, repeated as a heartbeat.
 struct backend_announced {
     service_name service_;
@@ -26,6 +26,7 @@
     std::uint32_t slots_ = 0;
     std::uint32_t connections_ = 0;
     bool draining_ = false;
+    std::uint64_t start_ = 0; // differs between starts of the backend server; 0 if not announced
     friend bool operator==(const backend_announced&, const backend_announced&) = default;
 };
 // No announcement came for too long, or its address refuses connections.
@@ -64,14 +65,21 @@
     run_id run_;
     friend bool operator==(const run_broken&, const run_broken&) = default;
 };
+// Another gate claims an idempotency key here, or answers a claim.
+struct peer_gate_message {
+    daemon_name from_;
+    gate_to_gate message_;
+    friend bool operator==(const peer_gate_message&, const peer_gate_message&) = default;
+};
 struct gate_view_changed {
     view_ptr view_;
 };
 struct gate_tick {
     friend bool operator==(const gate_tick&, const gate_tick&) = default;
 };
-using gate_event = std::variant<backend_announced, backend_lost, stop_requested, call_message, run_answered,
-                                run_continued, run_not_sent, run_broken, gate_view_changed, gate_tick>;
+using gate_event =
+    std::variant<backend_announced, backend_lost, stop_requested, call_message, run_answered, run_continued,
+                 run_not_sent, run_broken, peer_gate_message, gate_view_changed, gate_tick>;
 
 // Give a request to the backend server.
 struct start_run {
@@ -90,12 +98,18 @@
     gate_to_entry message_;
     friend bool operator==(const send_to_entry&, const send_to_entry&) = default;
 };
-using gate_action = std::variant<start_run, abort_run, send_to_entry>;
+struct send_to_peer_gate {
+    daemon_name to_;
+    gate_to_gate message_;
+    friend bool operator==(const send_to_peer_gate&, const send_to_peer_gate&) = default;
+};
+using gate_action = std::variant<start_run, abort_run, send_to_entry, send_to_peer_gate>;
 using gate_actions = std::vector<gate_action>;
 
 class gate {
 public:
-    explicit gate(data_center_name data_center);
+    // started tells this process from earlier ones at the same address.
+    gate(daemon_name self, incarnation started, data_center_name data_center, time_point now);
 
     gate_actions handle(const gate_event& event, time_point now);
 
@@ -106,15 +120,12 @@
     bool serving() const;
 
 private:
-    struct held_call {
-        daemon_name from_;
-        call call_;
-        time_point deadline_;
-    };
-    // What is remembered of a call that must not run twice.
-    struct remembered {
-        call_id id_;
-        time_point until_;
+    // A call whose key is being recorded at its homes, one after the other.
+    struct claiming_call {
+        held_call held_;
+        std::vector<daemon_name> homes_; // the held call names those that were asked
+        bool history_known_ = false;     // a home has surely no record of an earlier run
+        time_point give_up_;
     };
 
     void on(const backend_announced& e, time_point now);
@@ -125,34 +136,63 @@
     void on(const run_continued& e, time_point now);
     void on(const run_not_sent& e, time_point now);
     void on(const run_broken& e, time_point now);
+    void on(const peer_gate_message& e, time_point now);
     void on(const gate_view_changed& e, time_point now);
     void on(const gate_tick& e, time_point now);
 
     void take_call(const daemon_name& from, const call& c, time_point now);
-    void take_cancel(const daemon_name& from, const cancel& c);
+    void take_cancel(const daemon_name& from, const cancel& c, time_point now);
     void take_fence(const daemon_name& from, const fence& f, time_point now);
+    // True if the attempt has come before, and has been dealt with.
+    bool take_again(const call_key& key);
+    // True if a request with the same identity is known, and has been dealt with.
+    bool take_repeat(const call_key& key, const call& c, time_point now);
 
     // The reason why a call is not admitted; code::ok if it is.
     code admission(const call& c) const;
+    held_call make_held(const call_key& key, const call& c, time_point now) const;
+    bool remember_once(const held_call& held);
+
+    void claim_key(held_call held, time_point now);
+    void ask_next_home(const call_key& key, time_point now);
+    void take(const daemon_name& from, const key_claim& m, time_point now);
+    void take(const daemon_name& from, const key_verdict& m, time_point now);
+    void take(const daemon_name& from, const key_outcome& m, time_point now);
+    void give_up_claim(const call_key& key, code why, int earlier_status, time_point now);
+    void give_up_claims(time_point now);
+    void tell_homes(const held_call& held, bool ran, int status, time_point now);
+
+    void enqueue(held_call held, time_point now);
+    bool too_late(const held_call& held, time_point now) const;
     void start(held_call held, time_point now);
     void start_waiting(time_point now);
-    void end_run(std::map<run_id, held_call>::iterator at, time_point now);
-    void refuse(const daemon_name& to, call_id id, code why);
+    void end_run(std::map<run_id, held_call>::iterator at, int status, time_point now);
+
+    held_call* find_held(const call_key& key);
+    std::map<run_id, held_call>::iterator find_running(const call_key& key);
+    held_call* find_held_identity(const std::string& identity);
+
+    // A call that was held and has surely not run; it never will.
+    void refuse(const held_call& held, code why, time_point now, int earlier_status = 0);
+    void refuse(const call_key& key, code why, time_point now, int earlier_status = 0);
+    void withdraw(const held_call& held, time_point now);
+    void answer_all(const held_call& held, const std::function<gate_to_entry(call_id)>& make);
     void send(const daemon_name& to, gate_to_entry message);
-    void shrink_limit();
-    void grow_limit();
-    void forget(time_point now);
 
+    daemon_name self_;
+    incarnation started_;
     data_center_name data_center_;
     view_ptr view_;
     std::optional<backend_announced> backend_;
     bool stopping_ = false;
-    double limit_ = 0; // calls at once
+    concurrency_limit limit_;
     run_id last_run_;
     std::map<run_id, held_call> running_;
-    std::deque<held_call> waiting_;
-    std::map<std::string, remembered> identities_;
-    std::map<call_id, time_point> fenced_; // ids that must not run any more, with when to forget them
+    call_queue waiting_;
+    std::map<call_key, claiming_call> claiming_;
+    call_memory calls_;
+    key_memory keys_;
+    key_registry registry_;
     gate_actions actions_;
 };
 
--- /dev/null
+++ b/src/decide/key_home.cpp
@@ -0,0 +1,72 @@
+#include "decide/key_home.h"
+
+#include <algorithm>
+
+namespace guavahaven::decide {
+
+namespace {
+
+constexpr std::size_t homes_per_key = 2;
+constexpr duration recent_start = std::chrono::minutes(2);
+constexpr duration remember_claim = std::chrono::minutes(30); // whose outcome is never heard
+
+bool may_be_alive(const member& m)
+{
+    return m.state_ != member_state::left && m.state_ != member_state::dead;
+}
+
+// The entry numbers its attempts in order and makes the next one only when the
+// last has surely not run.
+bool same_request_later(const key_claim& claim, const known_run& known)
+{
+    return claim.attempt_.entry_ == known.attempt_.entry_ &&
+           claim.attempt_.id_.entry_ == known.attempt_.id_.entry_ && claim.request_ == known.request_ &&
+           claim.attempt_.id_.sequence_ >= known.attempt_.id_.sequence_;
+}
+
+} // namespace
+
+std::vector<daemon_name> key_homes(const view& v, const std::string& identity)
+{
+    std::vector<daemon_name> ranked;
+    for (const member& m : v.members_)
+        if (may_be_alive(m))
+            ranked.push_back(m.name_);
+    const std::size_t count = std::min(homes_per_key, ranked.size());
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count), ranked.end(),
+                      [&](const daemon_name& a, const daemon_name& b) {
+                          return rendezvous_rank(identity, a) > rendezvous_rank(identity, b);
+                      });
+    ranked.resize(count);
+    return ranked;
+}
+
+key_verdict key_registry::handle(const key_claim& claim, time_point now)
+{
+    key_verdict verdict{claim.identity_, claim.attempt_, false, false, 0};
+    verdict.recent_ = !complete_ && now - started_ < recent_start;
+    const known_run* known = known_.find(claim.identity_);
+    if (known && (known->ended_ || !same_request_later(claim, *known))) {
+        verdict.status_ = known->status_;
+        return verdict;
+    }
+    known_run run;
+    run.attempt_ = claim.attempt_;
+    run.request_ = claim.request_;
+    run.until_ = now + remember_claim;
+    verdict.granted_ = known_.begin(claim.identity_, run);
+    return verdict;
+}
+
+void key_registry::handle(const key_outcome& outcome, time_point now)
+{
+    const known_run* known = known_.find(outcome.identity_);
+    if (!known || known->attempt_ != outcome.attempt_)
+        return;
+    if (outcome.ran_)
+        known_.end(outcome.identity_, outcome.status_, now);
+    else
+        known_.withdraw(outcome.identity_);
+}
+
+} // namespace guavahaven::decide
--- /dev/null
+++ b/src/decide/key_home.h
@@ -0,0 +1,70 @@
+#pragma once
+
+// Idempotency keys that a caller sends again through another entry. Two daemons
+// of the mesh, chosen by the key alone, record it before the request runs
+// anywhere: its home first, then its deputy. A second request with the key
+// meets the record at one of them, whichever of the two has been lost.
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "decide/key_memory.h"
+#include "decide/view.h"
+
+namespace guavahaven::decide {
+
+// gate -> home or deputy: may this attempt run under the key?
+struct key_claim {
+    std::string identity_; // scoped
+    call_key attempt_;
+    std::uint64_t request_ = 0; // of the same entry; its later attempts may claim again
+    friend bool operator==(const key_claim&, const key_claim&) = default;
+};
+
+// home or deputy -> gate
+struct key_verdict {
+    std::string identity_;
+    call_key attempt_;
+    bool granted_ = false;
+    bool recent_ = false; // started so lately that an earlier record may be lost
+    int status_ = 0;      // not granted: status of the earlier run's answer, if it is known
+    friend bool operator==(const key_verdict&, const key_verdict&) = default;
+};
+
+// gate -> home and deputy: what became of the attempt.
+struct key_outcome {
+    std::string identity_;
+    call_key attempt_;
+    bool ran_ = false; // false: it never will
+    int status_ = 0;   // of its answer; 0 if the outcome is unknown
+    friend bool operator==(const key_outcome&, const key_outcome&) = default;
+};
+
+using gate_to_gate = std::variant<key_claim, key_verdict, key_outcome>;
+
+// The daemons that keep a key, in the order in which they are asked. They are
+// ranked among all members that may be alive, whatever their service, version
+// and load, so that moves and limits don't shift a key.
+std::vector<daemon_name> key_homes(const view& v, const std::string& identity);
+
+// What a daemon records as home or deputy.
+class key_registry {
+public:
+    explicit key_registry(time_point started) : started_(started) {}
+
+    // No configuration was in force anywhere before this daemon started, so
+    // nothing can have run that it has no record of.
+    void set_complete() { complete_ = true; }
+
+    key_verdict handle(const key_claim& claim, time_point now);
+    void handle(const key_outcome& outcome, time_point now);
+    void forget(time_point now) { known_.forget(now); }
+
+private:
+    key_memory known_;
+    time_point started_;
+    bool complete_ = false;
+};
+
+} // namespace guavahaven::decide
--- a/src/main/daemon.cpp
+++ b/src/main/daemon.cpp
@@ -80,10 +80,11 @@
           mail_(loop_, [this](task_message&& m) { deliver(std::move(m)); }),
           mesh_(loop_, metrics_, {peer::protocol_version, self_, started_},
                 [this](const peer::event& e) { take(e); }),
-          backend_(
-              loop_, metrics_, {settings_.backend_, settings_.announcement_timeout_}, settings_.data_center_,
-              [this](const daemon_name& to, decide::gate_to_entry m) { answer(to, std::move(m)); },
-              [this](const decide::own_backend& b) { mail_.post(to_control{b}); }),
+          backend_(loop_, metrics_, {settings_.backend_, settings_.announcement_timeout_},
+                   decide::gate(self_, started_, settings_.data_center_, clock_.now()),
+                   {[this](const daemon_name& to, decide::gate_to_entry m) { answer(to, std::move(m)); },
+                    [this](const daemon_name& to, const decide::gate_to_gate& m) { mesh_.send(to, m); },
+                    [this](const decide::own_backend& b) { mail_.post(to_control{b}); }}),
           caller_(loop_, metrics_, decide::entry(self_, started_, settings_.data_center_, seed_),
                   [this](const daemon_name& to, const decide::entry_to_gate& m, bool fresh) {
                       ask(to, m, fresh);
@@ -161,6 +162,9 @@
                        [&](const decide::gate_to_entry& x) {
                            mail_.post(to_entry{decide::gate_message{from, x}});
                        },
+                       [&](const decide::gate_to_gate& x) {
+                           mail_.post(to_gate{decide::peer_gate_message{from, x}});
+                       },
                        [&](const decide::control_message& x) {
                            mail_.post(to_control{decide::control_received{from, x}});
                        },
--- a/src/main/replay.cpp
+++ b/src/main/replay.cpp
@@ -52,11 +52,11 @@
             m.service_ = service_name(i == 1 ? "desk" : "board");
             m.version_ = version_name("v1");
             known->members_.push_back(m);
-            gates_.emplace(m.name_, gate(m.data_center_));
+            gates_.emplace(m.name_, gate(m.name_, m.incarnation_, m.data_center_, now_));
         }
         for (const member& m : known->members_) {
             act(m.name_, gate_view_changed{known});
-            act(m.name_, backend_announced{m.service_, m.version_, 12, 120, false});
+            act(m.name_, backend_announced{m.service_, m.version_, 12, 120, false, 0});
         }
         act(entry_view_changed{known});
     }
@@ -103,6 +103,10 @@
                 note(serialize(sent->message_));
                 act(gate_message{at, sent->message_});
             }
+            if (const auto* asked = std::get_if<send_to_peer_gate>(&a)) {
+                note(serialize(asked->message_));
+                act(asked->to_, peer_gate_message{at, asked->message_});
+            }
         }
     }
 
--- a/src/operator/rules.cpp
+++ b/src/operator/rules.cpp
@@ -498,6 +498,7 @@
                      to_string("configuration " + std::to_string(record.number_.value()), faults->front())};
     decide::configuration c = std::get<decide::configuration>(std::move(parsed));
     c.number_ = record.number_;
+    c.written_at_ = record.written_at_;
     return c;
 }
 
--- a/src/peer/layouts.h
+++ b/src/peer/layouts.h
@@ -25,7 +25,7 @@
 namespace guavahaven {
 
 GUAVAHAVEN_ENUM(code, answer_incomplete);
-GUAVAHAVEN_ENUM(decide::fate, ran);
+GUAVAHAVEN_ENUM(decide::fate, unknown);
 GUAVAHAVEN_ENUM(decide::member_state, dead);
 
 GUAVAHAVEN_LAYOUT(http::header, &http::header::name_, &http::header::value_);
@@ -38,7 +38,8 @@
 GUAVAHAVEN_LAYOUT(decide::call_id, &decide::call_id::entry_, &decide::call_id::sequence_);
 GUAVAHAVEN_LAYOUT(decide::load_report, &decide::load_report::in_flight_, &decide::load_report::queued_,
                   &decide::load_report::limit_);
-GUAVAHAVEN_LAYOUT(decide::call, &decide::call::id_, &decide::call::identity_, &decide::call::once_,
+GUAVAHAVEN_LAYOUT(decide::call, &decide::call::id_, &decide::call::gate_, &decide::call::identity_,
+                  &decide::call::keyed_, &decide::call::request_number_, &decide::call::once_,
                   &decide::call::service_, &decide::call::version_, &decide::call::class_,
                   &decide::call::route_, &decide::call::configuration_, &decide::call::remaining_,
                   &decide::call::depth_, &decide::call::request_);
@@ -47,11 +48,22 @@
                   &decide::answer::complete_);
 GUAVAHAVEN_LAYOUT(decide::answer_part, &decide::answer_part::id_, &decide::answer_part::bytes_,
                   &decide::answer_part::complete_);
-GUAVAHAVEN_LAYOUT(decide::refusal, &decide::refusal::id_, &decide::refusal::code_, &decide::refusal::load_);
+GUAVAHAVEN_LAYOUT(decide::refusal, &decide::refusal::id_, &decide::refusal::code_, &decide::refusal::load_,
+                  &decide::refusal::earlier_status_);
 GUAVAHAVEN_LAYOUT(decide::broken, &decide::broken::id_, &decide::broken::code_, &decide::broken::load_);
 GUAVAHAVEN_LAYOUT(decide::cancel, &decide::cancel::id_);
-GUAVAHAVEN_LAYOUT(decide::fence, &decide::fence::id_);
-GUAVAHAVEN_LAYOUT(decide::fence_verdict, &decide::fence_verdict::id_, &decide::fence_verdict::fate_);
+GUAVAHAVEN_LAYOUT(decide::fence, &decide::fence::id_, &decide::fence::gate_);
+GUAVAHAVEN_LAYOUT(decide::fence_verdict, &decide::fence_verdict::id_, &decide::fence_verdict::gate_,
+                  &decide::fence_verdict::fate_);
+
+GUAVAHAVEN_LAYOUT(decide::call_key, &decide::call_key::entry_, &decide::call_key::id_);
+GUAVAHAVEN_LAYOUT(decide::key_claim, &decide::key_claim::identity_, &decide::key_claim::attempt_,
+                  &decide::key_claim::request_);
+GUAVAHAVEN_LAYOUT(decide::key_verdict, &decide::key_verdict::identity_, &decide::key_verdict::attempt_,
+                  &decide::key_verdict::granted_, &decide::key_verdict::recent_,
+                  &decide::key_verdict::status_);
+GUAVAHAVEN_LAYOUT(decide::key_outcome, &decide::key_outcome::identity_, &decide::key_outcome::attempt_,
+                  &decide::key_outcome::ran_, &decide::key_outcome::status_);
 
 GUAVAHAVEN_LAYOUT(decide::member, &decide::member::name_, &decide::member::incarnation_,
                   &decide::member::revision_, &decide::member::state_, &decide::member::data_center_,
--- a/src/peer/message.h
+++ b/src/peer/message.h
@@ -10,11 +10,12 @@
 
 #include "decide/call.h"
 #include "decide/gossip.h"
+#include "decide/key_home.h"
 
 namespace guavahaven::peer {
 
 // Raised whenever a message changes in a way that older daemons can't read.
-inline constexpr std::uint32_t protocol_version = 1;
+inline constexpr std::uint32_t protocol_version = 2;
 
 // Bytes of a frame's payload that are accepted at most.
 inline constexpr std::size_t frame_most = 4 * 1024 * 1024;
@@ -28,7 +29,8 @@
     friend bool operator==(const hello&, const hello&) = default;
 };
 
-using message = std::variant<hello, decide::entry_to_gate, decide::gate_to_entry, decide::control_message>;
+using message = std::variant<hello, decide::entry_to_gate, decide::gate_to_entry, decide::control_message,
+                             decide::gate_to_gate>;
 
 // A message as a whole frame.
 std::string to_frame(const message& m);
--- a/tests/fakes/backend_server.cpp
+++ b/tests/fakes/backend_server.cpp
@@ -92,7 +92,8 @@
         const std::string target =
             "/announce?service=" + settings_.service_ + "&version=" + settings_.version_ +
             "&port=" + std::to_string(settings_.port_) + "&slots=" + std::to_string(settings_.slots_) +
-            "&connections=" + std::to_string(settings_.connections_) + (draining_ ? "&state=draining" : "");
+            "&connections=" + std::to_string(settings_.connections_) + "&start=" + std::to_string(getpid()) +
+            (draining_ ? "&state=draining" : "");
         if (!silent_ && announcer_.in_flight() == 0)
             announcer_.send({"POST", target, {}, ""}, announce_interval, [](const auto&) {});
         announce_timer_.arm(announce_interval);
