--- a/src/peer/message.h
+++ b/src/peer/message.h
@@ -44,9 +44,13 @@
     // stream is no use any more (malformed, too large, another protocol).
     std::optional<result<message>> next();
 
+    // Bytes of the frame that next() gave last.
+    std::size_t last_size() const { return last_size_; }
+
 private:
     std::string bytes_;
     std::size_t start_ = 0;
+    std::size_t last_size_ = 0;
 };
 
 } // namespace guavahaven::peer
