--- a/src/backend/door.cpp
+++ b/src/backend/door.cpp
@@ -123,7 +123,7 @@
 
 void door::apply(const decide::send_to_peer_gate& a)
 {
-    out_.to_gate_(a.to_, a.message_);
+    out_.to_gate_(a.to_, a.message_, a.fresh_connection_);
 }
 
 void door::tick()
--- a/src/backend/door.h
+++ b/src/backend/door.h
@@ -30,7 +30,7 @@
     // another gate; announced tells the control task of the backend server.
     struct outlets {
         std::function<void(const daemon_name&, decide::gate_to_entry)> to_entry_;
-        std::function<void(const daemon_name&, const decide::gate_to_gate&)> to_gate_;
+        std::function<void(const daemon_name&, const decide::gate_to_gate&, bool fresh)> to_gate_;
         std::function<void(decide::own_backend)> announced_;
     };
 
--- a/src/decide/gate.cpp
+++ b/src/decide/gate.cpp
@@ -354,7 +354,8 @@
 {
     for (const held_call& held : waiting_.take_expired(now))
         refuse(held, code::deadline_exceeded, now);
-    give_up_claims(now);
+    tend_claims(now);
+    tell_homes_again(now);
     start_waiting(now);
     calls_.forget(now);
     keys_.forget(now);
--- a/src/decide/gate.h
+++ b/src/decide/gate.h
@@ -71,6 +71,11 @@
     gate_to_gate message_;
     friend bool operator==(const peer_gate_message&, const peer_gate_message&) = default;
 };
+// The connection to another gate is gone, with whatever was under way on it.
+struct peer_gate_lost {
+    daemon_name gate_;
+    friend bool operator==(const peer_gate_lost&, const peer_gate_lost&) = default;
+};
 struct gate_view_changed {
     view_ptr view_;
 };
@@ -79,7 +84,7 @@
 };
 using gate_event =
     std::variant<backend_announced, backend_lost, stop_requested, call_message, run_answered, run_continued,
-                 run_not_sent, run_broken, peer_gate_message, gate_view_changed, gate_tick>;
+                 run_not_sent, run_broken, peer_gate_message, peer_gate_lost, gate_view_changed, gate_tick>;
 
 // Give a request to the backend server.
 struct start_run {
@@ -101,6 +106,7 @@
 struct send_to_peer_gate {
     daemon_name to_;
     gate_to_gate message_;
+    bool fresh_connection_ = false; // do not trust the connection that is open
     friend bool operator==(const send_to_peer_gate&, const send_to_peer_gate&) = default;
 };
 using gate_action = std::variant<start_run, abort_run, send_to_entry, send_to_peer_gate>;
@@ -122,10 +128,18 @@
 private:
     // A call whose key is being recorded at its homes, one after the other.
     struct claiming_call {
-        held_call held_;
-        std::vector<daemon_name> homes_; // the held call names those that were asked
-        bool history_known_ = false;     // a home has surely no record of an earlier run
-        time_point give_up_;
+        held_call held_; // names the homes that were asked
+        std::vector<daemon_name> homes_;
+        std::size_t grants_ = 0;
+        bool asked_again_ = false; // the last home, over a new connection
+        time_point asked_{};
+    };
+    // An outcome that a home has not acknowledged.
+    struct unnoted_outcome {
+        daemon_name home_;
+        key_outcome outcome_;
+        time_point sent_{};
+        std::uint32_t sends_ = 1;
     };
 
     void on(const backend_announced& e, time_point now);
@@ -137,6 +151,7 @@
     void on(const run_not_sent& e, time_point now);
     void on(const run_broken& e, time_point now);
     void on(const peer_gate_message& e, time_point now);
+    void on(const peer_gate_lost& e, time_point now);
     void on(const gate_view_changed& e, time_point now);
     void on(const gate_tick& e, time_point now);
 
@@ -155,12 +170,16 @@
 
     void claim_key(held_call held, time_point now);
     void ask_next_home(const call_key& key, time_point now);
+    void ask_again(const call_key& key, time_point now);
+    void ask(const claiming_call& c, bool fresh, time_point now);
     void take(const daemon_name& from, const key_claim& m, time_point now);
     void take(const daemon_name& from, const key_verdict& m, time_point now);
     void take(const daemon_name& from, const key_outcome& m, time_point now);
+    void take(const daemon_name& from, const key_noted& m, time_point now);
     void give_up_claim(const call_key& key, code why, int earlier_status, time_point now);
-    void give_up_claims(time_point now);
+    void tend_claims(time_point now);
     void tell_homes(const held_call& held, bool ran, int status, time_point now);
+    void tell_homes_again(time_point now);
 
     void enqueue(held_call held, time_point now);
     bool too_late(const held_call& held, time_point now) const;
@@ -190,6 +209,7 @@
     std::map<run_id, held_call> running_;
     call_queue waiting_;
     std::map<call_key, claiming_call> claiming_;
+    std::vector<unnoted_outcome> unnoted_;
     call_memory calls_;
     key_memory keys_;
     key_registry registry_;
--- a/src/decide/key_home.cpp
+++ b/src/decide/key_home.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-constexpr std::size_t homes_per_key = 2;
+constexpr std::size_t homes_per_key = 3;
+constexpr std::size_t grants_per_key = 2;
 constexpr duration recent_start = std::chrono::minutes(2);
 constexpr duration remember_claim = std::chrono::minutes(30); // whose outcome is never heard
 
@@ -41,12 +42,18 @@
     return ranked;
 }
 
+std::size_t grants_needed(std::size_t homes)
+{
+    return std::min(homes, grants_per_key);
+}
+
 key_verdict key_registry::handle(const key_claim& claim, time_point now)
 {
-    key_verdict verdict{claim.identity_, claim.attempt_, false, false, 0};
+    key_verdict verdict{claim.identity_, claim.attempt_, false, false, false, 0};
     verdict.recent_ = !complete_ && now - started_ < recent_start;
     const known_run* known = known_.find(claim.identity_);
     if (known && (known->ended_ || !same_request_later(claim, *known))) {
+        verdict.ended_ = known->ended_;
         verdict.status_ = known->status_;
         return verdict;
     }
@@ -58,15 +65,17 @@
     return verdict;
 }
 
-void key_registry::handle(const key_outcome& outcome, time_point now)
+key_noted key_registry::handle(const key_outcome& outcome, time_point now)
 {
+    const key_noted noted{outcome.identity_, outcome.attempt_};
     const known_run* known = known_.find(outcome.identity_);
     if (!known || known->attempt_ != outcome.attempt_)
-        return;
+        return noted;
     if (outcome.ran_)
         known_.end(outcome.identity_, outcome.status_, now);
-    else
+    else if (!known->ended_)
         known_.withdraw(outcome.identity_);
+    return noted;
 }
 
 } // namespace guavahaven::decide
--- a/src/decide/key_home.h
+++ b/src/decide/key_home.h
@@ -1,9 +1,9 @@
 #pragma once
 
-// Idempotency keys that a caller sends again through another entry. Two daemons
-// of the mesh, chosen by the key alone, record it before the request runs
-// anywhere: its home first, then its deputy. A second request with the key
-// meets the record at one of them, whichever of the two has been lost.
+// Idempotency keys that a caller sends again through another entry. Two of
+// three daemons of the mesh, chosen by the key alone, record it before the
+// request runs anywhere. They are asked in one order, so a second request with
+// the key meets the record although one of the three is lost.
 
 #include <string>
 #include <variant>
@@ -14,7 +14,7 @@
 
 namespace guavahaven::decide {
 
-// gate -> home or deputy: may this attempt run under the key?
+// gate -> home: may this attempt run under the key?
 struct key_claim {
     std::string identity_; // scoped
     call_key attempt_;
@@ -22,17 +22,18 @@
     friend bool operator==(const key_claim&, const key_claim&) = default;
 };
 
-// home or deputy -> gate
+// home -> gate
 struct key_verdict {
     std::string identity_;
     call_key attempt_;
     bool granted_ = false;
     bool recent_ = false; // started so lately that an earlier record may be lost
-    int status_ = 0;      // not granted: status of the earlier run's answer, if it is known
+    bool ended_ = false;  // not granted: the earlier run has ended
+    int status_ = 0;      // with an answer of this status; 0 if its outcome is unknown
     friend bool operator==(const key_verdict&, const key_verdict&) = default;
 };
 
-// gate -> home and deputy: what became of the attempt.
+// gate -> home: what became of the attempt.
 struct key_outcome {
     std::string identity_;
     call_key attempt_;
@@ -41,14 +42,24 @@
     friend bool operator==(const key_outcome&, const key_outcome&) = default;
 };
 
-using gate_to_gate = std::variant<key_claim, key_verdict, key_outcome>;
+// home -> gate: the outcome has arrived.
+struct key_noted {
+    std::string identity_;
+    call_key attempt_;
+    friend bool operator==(const key_noted&, const key_noted&) = default;
+};
+
+using gate_to_gate = std::variant<key_claim, key_verdict, key_outcome, key_noted>;
+
+// Homes that have to grant a key, of so many.
+std::size_t grants_needed(std::size_t homes);
 
 // The daemons that keep a key, in the order in which they are asked. They are
 // ranked among all members that may be alive, whatever their service, version
 // and load, so that moves and limits don't shift a key.
 std::vector<daemon_name> key_homes(const view& v, const std::string& identity);
 
-// What a daemon records as home or deputy.
+// What a daemon records as a home.
 class key_registry {
 public:
     explicit key_registry(time_point started) : started_(started) {}
@@ -58,7 +69,7 @@
     void set_complete() { complete_ = true; }
 
     key_verdict handle(const key_claim& claim, time_point now);
-    void handle(const key_outcome& outcome, time_point now);
+    key_noted handle(const key_outcome& outcome, time_point now);
     void forget(time_point now) { known_.forget(now); }
 
 private:
--- a/src/main/daemon.cpp
+++ b/src/main/daemon.cpp
@@ -83,7 +83,9 @@
           backend_(loop_, metrics_, {settings_.backend_, settings_.announcement_timeout_},
                    decide::gate(self_, started_, settings_.data_center_, clock_.now()),
                    {[this](const daemon_name& to, decide::gate_to_entry m) { answer(to, std::move(m)); },
-                    [this](const daemon_name& to, const decide::gate_to_gate& m) { mesh_.send(to, m); },
+                    [this](const daemon_name& to, const decide::gate_to_gate& m, bool fresh) {
+                        mesh_.send(to, m, fresh);
+                    },
                     [this](const decide::own_backend& b) { mail_.post(to_control{b}); }}),
           caller_(loop_, metrics_, decide::entry(self_, started_, settings_.data_center_, seed_),
                   [this](const daemon_name& to, const decide::entry_to_gate& m, bool fresh) {
@@ -150,6 +152,7 @@
     {
         if (const auto* gone = std::get_if<peer::lost>(&e)) {
             mail_.post(to_entry{decide::gate_lost{gone->daemon_}});
+            mail_.post(to_gate{decide::peer_gate_lost{gone->daemon_}});
             return;
         }
         const daemon_name& from = std::get<peer::received>(e).from_;
