Moves are judged by a sequential test on the evidence of the gates

Cause: evidence was never fed by the gates, and a fixed excess of 10% in the share of failures after three failures had no stated error rate, mixed routes and data centres, and could not find a version that goes bad later.

Change: each gate counts the runs of a moved service per version, route and class (evidence_book) and sends them at the turn of each second to three judges by rendezvous rank among the living daemons of the service. A judge compares the versions within one second, data centre and route; given the sum of bad runs their share-out is hypergeometric if the versions are alike, so the likelihood ratio against higher odds is an e-process: a good version is withdrawn with a chance of 0.001 a move at most, over all tests, looks and judges. A mixture over change points finds a version that turns bad late. Sheds, refusals and time in queues are no evidence; a request under which runs of both versions break off is none either.

The last stage gives nine tenths and is watched: without a tenth on the old version at the same time a late badness can't be told from a bad moment. The deadline is no fact but follows from rule and time, so that a side of a partition that missed the end of a move can't undo it. A move begins only once the platform told its facts, or it came in force while the judge ran, so that a withdrawal outlives the restart of all processes; a write that fails is tried again until it takes effect, by judges and by the daemons that watch the platform.

Ruled out: SPRT with a rate assumed for the old version (a slow data centre then blames the new one); comparing whole-move sums (a version that is bad late is diluted); a version's crash counted per try (its caller's repeats then blame the version that drew the request).

--- a/src/backend/door.h
+++ b/src/backend/door.h
@@ -36,6 +36,7 @@
 
     bool busy() const { return gate_.busy(); }
     const decide::gate& state() const { return gate_; }
+    std::vector<decide::evidence> collect_evidence() { return gate_.collect_evidence(clock_.now()); }
 
 private:
     void take_announcement(http::exchange& e);
--- a/src/decide/call.h
+++ b/src/decide/call.h
@@ -23,6 +23,9 @@
     friend auto operator<=>(const call_id&, const call_id&) = default;
 };
 
+// One request given to the backend server; unique within its gate.
+using run_id = strong_number<struct run_tag>;
+
 // What a gate knows of its backend server's load, carried on every answer.
 struct load_report {
     std::uint32_t in_flight_ = 0;
--- a/src/decide/control.cpp
+++ b/src/decide/control.cpp
@@ -53,6 +53,7 @@
 
 void control::on(const platform_moves& e, time_point)
 {
+    moves_.facts_read(e.service_);
     spread(moves_.merge(e.facts_), daemon_name());
 }
 
@@ -64,10 +65,25 @@
 
 void control::on(const own_evidence& e, time_point)
 {
-    if (e.items_.empty())
+    if (!configuration_)
         return;
-    moves_.merge(e.items_);
-    tell_neighbours(evidence_report{e.items_}, daemon_name());
+    for (evidence item : e.items_) {
+        const auto rule = std::find_if(configuration_->moves_.begin(), configuration_->moves_.end(),
+                                       [&](const move_rule& r) { return r.id() == item.move_; });
+        const move_fact* fact = view_->find_move(item.move_);
+        if (rule == configuration_->moves_.end() || !fact || fact->done_ || fact->withdrawn_)
+            continue;
+        item.gate_ = self().name_;
+        item.incarnation_ = self().incarnation_;
+        item.data_center_ = self().data_center_;
+        item.second_ = e.second_;
+        for (const daemon_name& judge : judges_of(*rule, view_->members_)) {
+            if (judge == self().name_)
+                moves_.merge(std::vector<evidence>{item});
+            else
+                send(judge, evidence_report{{item}});
+        }
+    }
 }
 
 void control::on(const control_tick& e, time_point now)
@@ -75,10 +91,13 @@
     wall_ = e.wall_;
     spread(membership_.tick(now), daemon_name());
     if (configuration_) {
-        const std::vector<move_fact> changed = moves_.tick(*configuration_, e.wall_, now);
+        const std::vector<move_fact> changed =
+            moves_.tick(*configuration_, view_->members_, self().name_, e.wall_);
         for (const move_fact& f : changed)
             actions_.push_back(store_move{f});
         spread(changed, daemon_name());
+        if (view_->moves_ != effective_moves())
+            refresh_view(); // a deadline has passed
     }
     if (now - last_digest_ >= digest_interval) {
         last_digest_ = now;
@@ -128,7 +147,12 @@
 
 void control::take(const daemon_name& from, const move_facts& m, time_point)
 {
-    spread(moves_.merge(m.facts_), from);
+    const std::vector<move_fact> news = moves_.merge(m.facts_);
+    // The judges may be gone before the platform can be written.
+    for (const move_fact& f : news)
+        if (watching_)
+            actions_.push_back(store_move{f});
+    spread(news, from);
 }
 
 void control::take(const daemon_name&, const evidence_report& m, time_point)
@@ -201,10 +225,15 @@
 
 void control::refresh_view()
 {
-    view_ = std::make_shared<const view>(view{configuration_, membership_.members(), moves_.facts()});
+    view_ = std::make_shared<const view>(view{configuration_, membership_.members(), effective_moves()});
     actions_.push_back(publish_view{view_});
 }
 
+std::vector<move_fact> control::effective_moves() const
+{
+    return configuration_ ? moves_.effective_facts(*configuration_, wall_) : std::vector<move_fact>{};
+}
+
 void control::update_watch()
 {
     const bool watch = membership_.watches_platform();
--- a/src/decide/control.h
+++ b/src/decide/control.h
@@ -31,8 +31,9 @@
     std::vector<daemon_name> seeds_;
     friend bool operator==(const seeds_known&, const seeds_known&) = default;
 };
-// Move facts kept in the platform.
+// Move facts kept in the platform for a service.
 struct platform_moves {
+    service_name service_;
     std::vector<move_fact> facts_;
     friend bool operator==(const platform_moves&, const platform_moves&) = default;
 };
@@ -44,8 +45,10 @@
     bool draining_ = false;
     friend bool operator==(const own_backend&, const own_backend&) = default;
 };
-// What this gate has seen of its own backend server, cumulative.
+// What this gate has seen of its own backend server up to the end of a
+// wall-clock second; its name, incarnation and data centre are filled in here.
 struct own_evidence {
+    std::uint64_t second_ = 0;
     std::vector<evidence> items_;
     friend bool operator==(const own_evidence&, const own_evidence&) = default;
 };
@@ -93,7 +96,7 @@
     view_ptr current() const { return view_; }
     const member& self() const { return membership_.self(); }
     const std::optional<configuration_record>& record() const { return record_; }
-    std::vector<evidence> known_evidence() const { return moves_.known_evidence(); }
+    const move_tracker& moves() const { return moves_; }
 
 private:
     void on(const control_received& e, time_point now);
@@ -121,6 +124,8 @@
     digest own_digest(bool answer_wanted) const;
     void refresh_view();
     void update_watch();
+    // Facts as they act now, deadlines included.
+    std::vector<move_fact> effective_moves() const;
 
     membership membership_;
     move_tracker moves_;
--- a/src/decide/entry.cpp
+++ b/src/decide/entry.cpp
@@ -117,8 +117,8 @@
     const double draw = random_share(random_);
     if (const move_rule* move = c.find_move(service)) {
         const move_fact* known = view_->find_move(move->id());
-        const move_fact fact = known ? *known : move_fact{};
-        if (draw < share_of(*move, fact))
+        // Without a fact the move has not begun, or a withdrawal is not yet known here.
+        if (known && draw < share_of(*move, *known))
             return move->version_;
     }
     if (const split_rule* split = c.find_split(service)) {
@@ -264,6 +264,8 @@
     if (r.attempts_ >= retry.attempts_ || now >= r.deadline_)
         return fail(r, now, why);
     request_state next = r;
+    if (why == code::version_withdrawn) // the gate learned of it first
+        next.call_.version_ = view_->configuration_->find_service(r.call_.service_)->version_;
     --gates_[r.gate_].in_flight_;
     requests_.erase(r.call_.id_);
     attempt(next, now, why);
--- a/src/decide/gate.cpp
+++ b/src/decide/gate.cpp
@@ -38,6 +38,13 @@
             static_cast<std::uint32_t>(limit_)};
 }
 
+std::vector<evidence> gate::collect_evidence(time_point now)
+{
+    if (!backend_ || !view_ || !view_->configuration_)
+        return {};
+    return evidence_.collect(*view_->configuration_, {backend_->service_, backend_->version_, load()}, now);
+}
+
 void gate::on(const backend_announced& e, time_point)
 {
     const bool fresh = !backend_ || backend_->version_ != e.version_ || backend_->service_ != e.service_;
@@ -62,7 +69,7 @@
 {
     std::visit(guavahaven::overloaded{
                    [&](const call& c) { take_call(e.from_, c, now); },
-                   [&](const cancel& c) { take_cancel(e.from_, c); },
+                   [&](const cancel& c) { take_cancel(e.from_, c, now); },
                    [&](const fence& f) { take_fence(e.from_, f, now); },
                },
                e.message_);
@@ -113,6 +120,7 @@
     if (held.call_.once_)
         identities_[held.call_.identity_] = {held.call_.id_, now + remember_identity};
     actions_.push_back(start_run{last_run_, held.call_.request_, held.deadline_ - now});
+    evidence_.run_started(last_run_, held.call_, *view_->configuration_, now);
     running_.emplace(last_run_, std::move(held));
 }
 
@@ -130,14 +138,16 @@
     }
 }
 
-void gate::take_cancel(const daemon_name& from, const cancel& c)
+void gate::take_cancel(const daemon_name& from, const cancel& c, time_point now)
 {
     const auto same = [&](const held_call& h) { return h.from_ == from && h.call_.id_ == c.id_; };
     std::erase_if(waiting_, same);
     // Work that must not run twice is left to end, so that its outcome stays known.
     for (const auto& [run, held] : running_)
-        if (same(held) && !held.call_.once_)
+        if (same(held) && !held.call_.once_) {
             actions_.push_back(abort_run{run});
+            evidence_.run_cancelled(run, now);
+        }
 }
 
 void gate::take_fence(const daemon_name& from, const fence& f, time_point now)
@@ -159,6 +169,7 @@
     const auto at = running_.find(e.run_);
     if (at == running_.end())
         return;
+    evidence_.run_answered(e.run_, e.response_.status_, e.complete_, now);
     if (e.response_.status_ == status_shed)
         shrink_limit();
     else
@@ -173,6 +184,8 @@
     const auto at = running_.find(e.run_);
     if (at == running_.end())
         return;
+    if (e.complete_)
+        evidence_.run_completed(e.run_, now);
     send(at->second.from_, answer_part{at->second.call_.id_, e.bytes_, e.complete_});
     if (e.complete_)
         end_run(at, now);
@@ -185,6 +198,7 @@
         return;
     if (at->second.call_.once_)
         identities_.erase(at->second.call_.identity_);
+    evidence_.run_dropped(e.run_);
     shrink_limit();
     refuse(at->second.from_, at->second.call_.id_, code::backend_unreachable);
     end_run(at, now);
@@ -195,6 +209,7 @@
     const auto at = running_.find(e.run_);
     if (at == running_.end())
         return;
+    evidence_.run_broken(e.run_, now);
     shrink_limit();
     send(at->second.from_, broken{at->second.call_.id_, code::outcome_unknown, load()});
     end_run(at, now);
--- a/src/decide/gate.h
+++ b/src/decide/gate.h
@@ -12,13 +12,11 @@
 #include <vector>
 
 #include "decide/call.h"
+#include "decide/evidence_book.h"
 #include "decide/view.h"
 
 namespace guavahaven::decide {
 
-// One request given to the backend server; unique within this gate.
-using run_id = strong_number<struct run_tag>;
-
 // The backend server's own announcement, repeated as a heartbeat.
 struct backend_announced {
     service_name service_;
@@ -102,6 +100,8 @@
     // True while calls run or wait here.
     bool busy() const;
     load_report load() const;
+    // What its runs show of versions under a move.
+    std::vector<evidence> collect_evidence(time_point now);
     // True if new work is taken, as far as this daemon itself is concerned.
     bool serving() const;
 
@@ -129,7 +129,7 @@
     void on(const gate_tick& e, time_point now);
 
     void take_call(const daemon_name& from, const call& c, time_point now);
-    void take_cancel(const daemon_name& from, const cancel& c);
+    void take_cancel(const daemon_name& from, const cancel& c, time_point now);
     void take_fence(const daemon_name& from, const fence& f, time_point now);
 
     // The reason why a call is not admitted; code::ok if it is.
@@ -153,6 +153,7 @@
     std::deque<held_call> waiting_;
     std::map<std::string, remembered> identities_;
     std::map<call_id, time_point> fenced_; // ids that must not run any more, with when to forget them
+    evidence_book evidence_;
     gate_actions actions_;
 };
 
--- a/src/decide/gossip.h
+++ b/src/decide/gossip.h
@@ -45,20 +45,30 @@
     friend bool operator==(const move_facts&, const move_facts&) = default;
 };
 
-// What one gate has seen of one version under a move, for one route and class;
-// cumulative, so that the newest of a gate replaces the older.
+// How the runs of one route and class ended at one gate, counted since the
+// gate learned of the move.
+struct route_counts {
+    std::string route_;
+    class_name class_;
+    std::uint64_t ran_ = 0;               // runs that ended, or lasted longer than the last slow level
+    std::uint64_t failed_ = 0;            // of these, answered with status 500 or above
+    std::vector<std::uint64_t> slower_{}; // of these, those longer than each of the slow levels
+    friend bool operator==(const route_counts&, const route_counts&) = default;
+};
+
+// What one gate has seen of the version beside it under a move; cumulative, so
+// that the newest of a gate's incarnation replaces the older.
 struct evidence {
     move_id move_;
     daemon_name gate_;
     incarnation incarnation_;
     version_name version_;
-    std::string route_;
-    class_name class_;
     data_center_name data_center_;
-    std::uint64_t answered_ = 0; // whole answers below status 500
-    std::uint64_t failed_ = 0;
-    std::uint64_t slow_ = 0; // whole answers, but later than the class allows
-    duration busy_{};        // sum of the run times of answers
+    std::uint64_t second_ = 0;          // the wall-clock second, since 1970, that the counts end with
+    std::uint32_t limit_ = 0;           // runs at once that the gate admits
+    std::uint32_t most_busy_ = 0;       // runs and waiting calls at once, at most, within that second
+    std::vector<std::uint64_t> deaths_; // fingerprints of the last requests whose runs broke off
+    std::vector<route_counts> routes_;
     friend bool operator==(const evidence&, const evidence&) = default;
 };
 struct evidence_report {
--- a/src/decide/move_tracker.cpp
+++ b/src/decide/move_tracker.cpp
@@ -6,41 +6,93 @@
 
 namespace {
 
-constexpr duration stage_least = std::chrono::seconds(1); // time at a share before the next
-constexpr std::uint64_t answers_least = 5;                // of the new version, before the next share
-constexpr std::uint64_t failures_least = 3;               // before a version may be called bad
-constexpr double failure_excess = 0.10;                   // of 1, above the old version's share of failures
+constexpr duration dwell_least = std::chrono::seconds(2);
+constexpr duration dwell_most = std::chrono::minutes(10);
+constexpr duration watch_least = std::chrono::seconds(2);
+constexpr duration watch_most = std::chrono::hours(1);
+constexpr int watch_part = 4;                 // of the move's length
+constexpr int short_watch_part = 10;          // of the length, without which a move is not done
+constexpr int safety_part = 20;               // of the length, kept free before the deadline
+constexpr std::uint64_t answers_least = 10;   // good ones of the new version at each stage
+constexpr std::uint64_t route_runs_least = 3; // of the new version on each route in use
+constexpr std::uint64_t route_in_use = 30;    // runs of the old version at a stage
+constexpr double capacity_used_most = 0.8;    // of what the new version's gates admit
+constexpr duration evidence_delay = std::chrono::milliseconds(600); // for reports of a second to come in
+constexpr duration platform_patience = std::chrono::seconds(5);
+constexpr std::size_t withdrawals_kept = 64;
 
-double failure_share(std::uint64_t answered, std::uint64_t failed)
+wall_time to_wall(std::uint64_t microseconds)
 {
-    const std::uint64_t all = answered + failed;
-    return all == 0 ? 0.0 : static_cast<double>(failed) / static_cast<double>(all);
+    return wall_time(duration(static_cast<std::int64_t>(microseconds)));
+}
+
+std::uint64_t from_wall(wall_time t)
+{
+    return static_cast<std::uint64_t>(t.time_since_epoch().count());
+}
+
+run_totals difference(const run_totals& after, const run_totals& before)
+{
+    return {after.new_ran_ - before.new_ran_, after.new_failed_ - before.new_failed_,
+            after.old_ran_ - before.old_ran_, after.old_failed_ - before.old_failed_};
 }
 
 } // namespace
 
+duration move_schedule::watch() const
+{
+    return std::clamp<duration>(length() / watch_part, watch_least, watch_most);
+}
+
+duration move_schedule::dwell(std::uint32_t stage, wall_time stage_began) const
+{
+    const int stages_left = static_cast<int>(stage_count() - 1 - std::min(stage, stage_count() - 1));
+    const duration ramp_left = deadline_ - length() / safety_part - watch() - stage_began;
+    return std::clamp<duration>(ramp_left / std::max(1, stages_left), dwell_least, dwell_most);
+}
+
+std::optional<wall_time> move_schedule::done_at(wall_time watch_began) const
+{
+    const wall_time last = deadline_ - length() / safety_part;
+    if (last - watch_began < length() / short_watch_part)
+        return {};
+    return std::min(last, watch_began + watch());
+}
+
 void move_tracker::set_configuration(const configuration& c)
 {
-    const auto named = [&](move_id id) {
-        return std::any_of(c.moves_.begin(), c.moves_.end(),
-                           [id](const move_rule& r) { return r.id() == id; });
-    };
-    std::erase_if(facts_, [&](const auto& f) { return !named(f.first); });
-    std::erase_if(stage_began_, [&](const auto& s) { return !named(s.first); });
-    std::erase_if(seen_at_stage_, [&](const auto& s) { return !named(s.first); });
-    std::erase_if(evidence_, [&](const auto& e) { return !named(std::get<0>(e.first)); });
+    const std::set<move_id> before = std::exchange(named_, {});
+    for (const move_rule& r : c.moves_) {
+        named_.insert(r.id());
+        if (had_configuration_ && !before.contains(r.id()))
+            new_since_.insert({r.id(), wall_time()});
+    }
+    had_configuration_ = true;
+    const auto unnamed = [&](const auto& item) { return !named_.contains(item.first); };
+    std::erase_if(facts_, [&](const auto& f) { return unnamed(f) && !f.second.withdrawn_; });
+    std::erase_if(judged_, unnamed);
+    std::erase_if(new_since_, unnamed);
+    while (facts_.size() > withdrawals_kept + named_.size()) {
+        const auto old = std::find_if(facts_.begin(), facts_.end(), unnamed);
+        if (old == facts_.end())
+            break;
+        facts_.erase(old);
+    }
 }
 
 std::vector<move_fact> move_tracker::merge(const std::vector<move_fact>& heard)
 {
     std::vector<move_fact> news;
     for (const move_fact& f : heard) {
+        if (!named_.contains(f.id_) && !f.withdrawn_)
+            continue;
         const auto [at, fresh] = facts_.insert({f.id_, f});
         const move_fact joined = decide::merge(at->second, f);
         if (!fresh && joined == at->second)
             continue;
         at->second = joined;
-        news.push_back(joined);
+        if (named_.contains(f.id_))
+            news.push_back(joined);
     }
     return news;
 }
@@ -48,62 +100,95 @@
 void move_tracker::merge(const std::vector<evidence>& heard)
 {
     for (const evidence& e : heard) {
-        const evidence_key key{e.move_, e.gate_, e.version_, e.route_, e.class_};
-        const auto [at, fresh] = evidence_.insert({key, e});
-        const auto rank = [](const evidence& x) {
-            return std::tuple(x.incarnation_, x.answered_ + x.failed_);
-        };
-        if (!fresh && rank(e) > rank(at->second))
-            at->second = e;
+        const auto at = judged_.find(e.move_);
+        if (at != judged_.end())
+            at->second.judge_.take(e);
     }
 }
 
-std::vector<move_fact> move_tracker::tick(const configuration& c, wall_time wall, time_point now)
+void move_tracker::facts_read(const service_name& service)
+{
+    read_.insert(service);
+}
+
+std::vector<move_fact> move_tracker::tick(const configuration& c, const std::vector<member>& members,
+                                          const daemon_name& self, wall_time wall)
 {
     std::vector<move_fact> news;
     for (const move_rule& rule : c.moves_) {
-        move_fact& fact = facts_[rule.id()];
-        fact.id_ = rule.id();
-        fact.service_ = rule.service_;
-        fact.version_ = rule.version_;
-        if (judge(rule, fact, wall, now)) {
-            fact.since_ = static_cast<std::uint64_t>(wall.time_since_epoch().count());
+        const std::vector<daemon_name> judges = judges_of(rule, members);
+        const bool judging = std::find(judges.begin(), judges.end(), self) != judges.end();
+        const auto known = facts_.find(rule.id());
+        if (!judging || wall >= rule.deadline_)
+            continue;
+        if (known == facts_.end()) {
+            if (!may_begin(rule, wall))
+                continue;
+            move_fact fact;
+            fact.id_ = rule.id();
+            fact.service_ = rule.service_;
+            fact.version_ = rule.version_;
+            fact.began_ = from_wall(wall);
+            fact.since_ = fact.began_;
+            facts_[rule.id()] = fact;
+            news.push_back(fact);
+            continue;
+        }
+        move_fact& fact = known->second;
+        if (judge(c, rule, fact, wall)) {
+            fact.since_ = from_wall(wall);
             news.push_back(fact);
         }
     }
     return news;
 }
 
-// True if the fact changed.
-bool move_tracker::judge(const move_rule& rule, move_fact& fact, wall_time wall, time_point now)
+// A move begins once it is sure that it was not withdrawn before: the platform
+// has told its facts, or the move came in force while this daemon ran.
+bool move_tracker::may_begin(const move_rule& rule, wall_time wall)
 {
-    if (fact.withdrawn_)
+    if (read_.contains(rule.service_))
+        return true;
+    const auto at = new_since_.find(rule.id());
+    if (at == new_since_.end())
         return false;
-    const auto [began, first] = stage_began_.insert({rule.id(), now});
-    const totals fresh = total(rule.id(), rule.version_, true);
-    const totals old = total(rule.id(), rule.version_, false);
+    if (at->second == wall_time())
+        at->second = wall;
+    return wall - at->second >= platform_patience;
+}
 
-    const double excess =
-        failure_share(fresh.answered_, fresh.failed_) - failure_share(old.answered_, old.failed_);
-    if (fresh.failed_ >= failures_least && excess > failure_excess) {
-        fact.withdrawn_ = true;
-        fact.reason_ = "failed " + std::to_string(fresh.failed_) + " of " +
-                       std::to_string(fresh.answered_ + fresh.failed_);
-        return true;
-    }
-    if (fact.done_)
+move_tracker::judged& move_tracker::judged_of(const configuration& c, const move_rule& rule,
+                                              const move_fact& fact)
+{
+    const auto known = judged_.find(rule.id());
+    if (known != judged_.end())
+        return known->second;
+    const auto routes = std::count_if(c.routes_.begin(), c.routes_.end(),
+                                      [&](const route_rule& r) { return r.service_ == rule.service_; });
+    const double seconds = std::chrono::duration<double>(rule.deadline_ - to_wall(fact.began_)).count();
+    judged fresh{move_judge(rule.version_, static_cast<std::size_t>(routes), seconds), fact.stage_, {}, {}};
+    return judged_.insert({rule.id(), std::move(fresh)}).first->second;
+}
+
+// True if the fact changed.
+bool move_tracker::judge(const configuration& c, const move_rule& rule, move_fact& fact, wall_time wall)
+{
+    if (fact.withdrawn_ || fact.done_)
         return false;
-    if (wall >= rule.deadline_) {
+    judged& j = judged_of(c, rule, fact);
+    j.judge_.test_until(from_wall(wall - evidence_delay) / 1'000'000);
+    if (const auto why = j.judge_.badness()) {
         fact.withdrawn_ = true;
-        fact.reason_ = "not finished by its deadline";
+        fact.reason_ = *why;
         return true;
     }
-    totals& seen = seen_at_stage_[rule.id()];
-    const bool enough = fresh.answered_ >= seen.answered_ + answers_least;
-    if (now - began->second < stage_least || !enough)
+    if (j.stage_ != fact.stage_) {
+        j.stage_ = fact.stage_;
+        j.at_stage_ = j.judge_.totals();
+    }
+    j.waiting_for_ = hindrance(rule, fact, j, wall);
+    if (!j.waiting_for_.empty())
         return false;
-    began->second = now;
-    seen = fresh;
     if (fact.stage_ + 1 < stage_count())
         ++fact.stage_;
     else
@@ -111,40 +196,95 @@
     return true;
 }
 
-move_tracker::totals move_tracker::total(move_id id, const version_name& version, bool of_version) const
+std::string move_tracker::hindrance(const move_rule& rule, const move_fact& fact, const judged& j,
+                                    wall_time wall) const
 {
-    totals sum;
-    for (const auto& [key, e] : evidence_) {
-        if (e.move_ != id || (e.version_ == version) != of_version)
-            continue;
-        sum.answered_ += e.answered_;
-        sum.failed_ += e.failed_;
+    if (j.judge_.doubtful())
+        return "a badness is likely but not shown";
+    std::uint64_t good = 0;
+    for (const auto& [key, now] : j.judge_.totals()) {
+        const auto before = j.at_stage_.find(key);
+        const run_totals grown = difference(now, before == j.at_stage_.end() ? run_totals{} : before->second);
+        good += grown.new_ran_ - grown.new_failed_;
+        if (grown.old_ran_ >= route_in_use && grown.new_ran_ < route_runs_least)
+            return "too few runs on route " + key.route_;
     }
-    return sum;
+    if (good < answers_least)
+        return std::to_string(good) + " of " + std::to_string(answers_least) + " good answers at this share";
+
+    const move_schedule schedule{to_wall(fact.began_), rule.deadline_};
+    const wall_time since = to_wall(fact.since_);
+    if (fact.stage_ + 1 == stage_count()) {
+        const auto done_at = schedule.done_at(since);
+        if (!done_at)
+            return "too little time is left to watch it";
+        return wall < *done_at ? "watched at the last share" : "";
+    }
+    if (wall < since + schedule.dwell(fact.stage_, since))
+        return "time at this share";
+    move_fact next = fact;
+    ++next.stage_;
+    const double needed = share_of(rule, next) * static_cast<double>(j.judge_.demand());
+    if (needed > capacity_used_most * static_cast<double>(j.judge_.capacity()))
+        return "its backend servers are not yet warm enough for the next share";
+    return {};
 }
 
 std::vector<move_fact> move_tracker::facts() const
 {
     std::vector<move_fact> all;
     for (const auto& [id, f] : facts_)
-        all.push_back(f);
+        if (named_.contains(id))
+            all.push_back(f);
+    return all;
+}
+
+std::vector<move_fact> move_tracker::effective_facts(const configuration& c, wall_time wall) const
+{
+    std::vector<move_fact> all = facts();
+    for (const move_rule& rule : c.moves_) {
+        if (wall < rule.deadline_)
+            continue;
+        auto at =
+            std::find_if(all.begin(), all.end(), [&](const move_fact& f) { return f.id_ == rule.id(); });
+        if (at == all.end()) {
+            move_fact unknown;
+            unknown.id_ = rule.id();
+            unknown.service_ = rule.service_;
+            unknown.version_ = rule.version_;
+            at = all.insert(all.end(), unknown);
+        }
+        if (at->done_ || at->withdrawn_)
+            continue;
+        at->withdrawn_ = true;
+        at->reason_ = "not done by its deadline";
+        at->since_ = from_wall(rule.deadline_);
+    }
     return all;
 }
 
 std::vector<evidence> move_tracker::known_evidence() const
 {
     std::vector<evidence> all;
-    for (const auto& [key, e] : evidence_)
-        all.push_back(e);
+    for (const auto& [id, j] : judged_)
+        for (const evidence& e : j.judge_.known())
+            all.push_back(e);
     return all;
 }
 
+std::string move_tracker::waiting_for(move_id id) const
+{
+    const auto at = judged_.find(id);
+    return at == judged_.end() ? "" : at->second.waiting_for_;
+}
+
 std::uint64_t move_tracker::hash() const
 {
     std::uint64_t sum = 0;
-    for (const auto& [id, f] : facts_) {
-        const std::string text = std::to_string(id.value()) + "/" + std::to_string(f.stage_) +
-                                 (f.done_ ? "/done" : "") + (f.withdrawn_ ? "/withdrawn" : "") + f.reason_;
+    for (const move_fact& f : facts()) {
+        const std::string text = std::to_string(f.id_.value()) + "/" + std::to_string(f.stage_) +
+                                 (f.done_ ? "/done" : "") + (f.withdrawn_ ? "/withdrawn/" : "/") +
+                                 std::to_string(f.since_) + "/" + std::to_string(f.began_) + f.reason_;
         sum += guavahaven::hash(text);
     }
     return sum;
--- a/src/decide/view.cpp
+++ b/src/decide/view.cpp
@@ -7,8 +7,10 @@
 
 namespace {
 
-// Shares after the start share; each stage about doubles the exposure.
-constexpr std::array later_shares{0.05, 0.15, 0.40, 1.0};
+// Shares after the start share. The last one is watched: a tenth stays on the
+// old version, since only answers of the same moment tell a bad version from a
+// bad moment. A move that is done has the whole.
+constexpr std::array later_shares{0.05, 0.15, 0.40, 0.90};
 
 } // namespace
 
@@ -36,6 +38,7 @@
     joined.done_ = a.done_ || b.done_;
     joined.withdrawn_ = a.withdrawn_ || b.withdrawn_;
     joined.since_ = std::max(a.since_, b.since_);
+    joined.began_ = std::min(a.began_, b.began_);
     // Of two reasons the one that belongs to a withdrawal stands; of two such, the lesser text.
     if (a.withdrawn_ != b.withdrawn_)
         joined.reason_ = a.withdrawn_ ? a.reason_ : b.reason_;
--- a/src/decide/view.h
+++ b/src/decide/view.h
@@ -46,6 +46,7 @@
     bool withdrawn_ = false; // wins over every stage and over done
     std::string reason_;
     std::uint64_t since_ = 0; // microseconds since 1970, of the last change
+    std::uint64_t began_ = 0; // microseconds since 1970, of the first judgement; the earliest known
 
     friend bool operator==(const move_fact&, const move_fact&) = default;
 };
@@ -56,7 +57,7 @@
 // Share of a service's calls that the new version of a move gets, of 1.
 double share_of(const move_rule& rule, const move_fact& fact);
 
-// Number of stages of a move; the last one is the whole share.
+// Number of stages of a move; at the last one the version is watched before the move is done.
 std::uint32_t stage_count();
 
 struct view {
--- a/src/main/daemon.cpp
+++ b/src/main/daemon.cpp
@@ -38,6 +38,8 @@
 enum exit_status { stopped = 0, wrong_usage = 1, faulty_settings = 2, cannot_listen = 3 };
 
 constexpr duration control_interval = std::chrono::milliseconds(200);
+constexpr duration one_second = std::chrono::seconds(1);
+constexpr duration evidence_lateness = std::chrono::milliseconds(150); // after the turn of the second
 constexpr duration stop_check_interval = std::chrono::milliseconds(50);
 constexpr duration leave_notice = std::chrono::milliseconds(300); // for the news to spread before the end
 constexpr std::size_t problems_most = 16;
@@ -228,8 +230,21 @@
 
     void tick()
     {
+        publish_evidence();
         apply(control_.handle(decide::control_tick{clock_.wall()}, clock_.now()));
-        control_timer_.arm(control_interval);
+        // Ticks fall on the turn of the second, at which all gates cut their evidence.
+        control_timer_.arm(control_interval - clock_.wall().time_since_epoch() % control_interval);
+    }
+
+    // Once a second, at its turn; a daemon that comes late waits for the next one.
+    void publish_evidence()
+    {
+        const duration now = clock_.wall().time_since_epoch();
+        const auto second = static_cast<std::uint64_t>(now / one_second) - 1;
+        if (second <= evidence_second_ || now % one_second > evidence_lateness)
+            return;
+        evidence_second_ = second;
+        apply(control_.handle(decide::own_evidence{second, backend_.collect_evidence()}, clock_.now()));
     }
 
     // New work stops, work in flight ends, then the process does.
@@ -270,6 +285,7 @@
     timer control_timer_;
     timer stop_timer_;
     configuration_number number_;
+    std::uint64_t evidence_second_ = 0;
     std::vector<std::string> problems_;
     std::optional<time_point> stop_began_;
 };
--- a/src/peer/layouts.h
+++ b/src/peer/layouts.h
@@ -68,12 +68,16 @@
 GUAVAHAVEN_LAYOUT(decide::configuration_whole, &decide::configuration_whole::record_);
 GUAVAHAVEN_LAYOUT(decide::move_fact, &decide::move_fact::id_, &decide::move_fact::service_,
                   &decide::move_fact::version_, &decide::move_fact::stage_, &decide::move_fact::done_,
-                  &decide::move_fact::withdrawn_, &decide::move_fact::reason_, &decide::move_fact::since_);
+                  &decide::move_fact::withdrawn_, &decide::move_fact::reason_, &decide::move_fact::since_,
+                  &decide::move_fact::began_);
 GUAVAHAVEN_LAYOUT(decide::move_facts, &decide::move_facts::facts_);
+GUAVAHAVEN_LAYOUT(decide::route_counts, &decide::route_counts::route_, &decide::route_counts::class_,
+                  &decide::route_counts::ran_, &decide::route_counts::failed_,
+                  &decide::route_counts::slower_);
 GUAVAHAVEN_LAYOUT(decide::evidence, &decide::evidence::move_, &decide::evidence::gate_,
-                  &decide::evidence::incarnation_, &decide::evidence::version_, &decide::evidence::route_,
-                  &decide::evidence::class_, &decide::evidence::data_center_, &decide::evidence::answered_,
-                  &decide::evidence::failed_, &decide::evidence::slow_, &decide::evidence::busy_);
+                  &decide::evidence::incarnation_, &decide::evidence::version_,
+                  &decide::evidence::data_center_, &decide::evidence::second_, &decide::evidence::limit_,
+                  &decide::evidence::most_busy_, &decide::evidence::deaths_, &decide::evidence::routes_);
 GUAVAHAVEN_LAYOUT(decide::evidence_report, &decide::evidence_report::items_);
 
 GUAVAHAVEN_LAYOUT(decide::seed, &decide::seed::data_center_, &decide::seed::daemon_);
--- a/src/platform/watcher.h
+++ b/src/platform/watcher.h
@@ -30,8 +30,10 @@
     // Reads seeds, configuration and move facts once, then registers as a seed.
     void start();
     void watch(bool on);
+    // Joins a fact into the platform's object of its service; tried until it succeeds.
     void store_move(const decide::move_fact& fact);
-    // The services under a move, whose facts are read.
+    // The services under a move, whose facts are read by the daemons that watch
+    // the platform; the others learn them from these.
     void read_moves(const std::set<service_name>& services);
 
 private:
@@ -39,7 +41,12 @@
     void register_seed(std::uint64_t version, std::vector<decide::seed> known);
     void watch_next();
     void took_configuration(const result<object>& found);
-    void write_move(const decide::move_fact& fact, int tries_left);
+    void read_unread_moves();
+    void write_move(const decide::move_fact& fact);
+    void move_written(const decide::move_fact& fact, bool written);
+    void retry_moves();
+    void retry_moves_now();
+    duration retry_delay();
 
     metrics& metrics_;
     watcher_settings settings_;
@@ -47,6 +54,10 @@
     store store_;
     random_engine random_;
     timer retry_;
+    timer move_retry_;
+    bool move_retry_pending_ = false;
+    std::set<service_name> unread_moves_;
+    std::map<move_id, decide::move_fact> unwritten_moves_;
     bool watching_ = false;
     bool asked_ = false; // a watch is under way
     bool reachable_ = true;
