--- a/tests/fakes/backend_server.cpp
+++ b/tests/fakes/backend_server.cpp
@@ -2,7 +2,9 @@
 // runs requests in a bounded number of slots, and writes a journal line for
 // each run. Faults are switched on over its control path.
 //
-//   POST /control?fail=PERCENT&slow_ms=N&fail_path=PATH&cold=0|1&draining=0|1&silent=0|1&crash_path=PATH
+//   POST
+//   /control?fail=PERCENT&slow_ms=N&fail_path=PATH&only_above=N&cold=0|1&draining=0|1&silent=0|1&crash_path=PATH
+//     only_above: fail and slow_ms act for runs that find N others in flight, or more
 //   GET  /health
 //   any other path: a run. Header Call-Chain: N makes the run call PATH once
 //   more through its daemon, with N-1.
@@ -135,7 +137,9 @@
     {
         note("run", e->received());
         const std::uint64_t id = ++last_run_;
-        const bool on_path = fail_path_.empty() || fail_path_ == http::path_of(e->received().target_);
+        const bool busy = runs_.size() >= only_above_;
+        const bool on_path =
+            busy && (fail_path_.empty() || fail_path_ == http::path_of(e->received().target_));
         run& r = runs_[id];
         r.exchange_ = e;
         r.failing_ =
@@ -192,6 +196,7 @@
         fail_percent_ = number("fail", fail_percent_);
         slow_ =
             std::chrono::milliseconds(number("slow_ms", static_cast<std::uint64_t>(slow_.count()) / 1000));
+        only_above_ = number("only_above", only_above_);
         draining_ = number("draining", draining_ ? 1 : 0) != 0;
         silent_ = number("silent", silent_ ? 1 : 0) != 0;
         if (target.find("fail_path=") != std::string::npos)
@@ -213,6 +218,7 @@
     std::uint64_t last_run_ = 0;
     std::uint64_t fail_percent_ = 0;
     duration slow_{};
+    std::uint64_t only_above_ = 0;
     bool draining_ = false;
     bool silent_ = false;
     std::string fail_path_;
--- a/tests/support/mesh.cpp
+++ b/tests/support/mesh.cpp
@@ -219,17 +219,25 @@
           {"POST", "/set?port=" + std::to_string(n.advertised_port()) + "&" + query, {}, ""});
 }
 
+std::vector<journal_entry> node::journal() const
+{
+    std::vector<journal_entry> all;
+    std::ifstream in(journal_path());
+    for (std::string line; std::getline(in, line);) {
+        std::istringstream fields(line);
+        journal_entry e;
+        if (fields >> e.at_ >> e.event_ >> e.version_ >> e.identity_ >> e.method_ >> e.path_)
+            all.push_back(e);
+    }
+    return all;
+}
+
 std::vector<journal_entry> mesh::journal() const
 {
     std::vector<journal_entry> all;
     for (const node& n : nodes_) {
-        std::ifstream in(n.journal_path());
-        for (std::string line; std::getline(in, line);) {
-            std::istringstream fields(line);
-            journal_entry e;
-            if (fields >> e.at_ >> e.event_ >> e.version_ >> e.identity_ >> e.method_ >> e.path_)
-                all.push_back(e);
-        }
+        const std::vector<journal_entry> own = n.journal();
+        all.insert(all.end(), own.begin(), own.end());
     }
     std::stable_sort(all.begin(), all.end(),
                      [](const journal_entry& a, const journal_entry& b) { return a.at_ < b.at_; });
--- a/tests/support/mesh.h
+++ b/tests/support/mesh.h
@@ -47,6 +47,16 @@
     bool fault_proxy_ = false; // before every peer port
 };
 
+// A line of a backend server's journal.
+struct journal_entry {
+    std::uint64_t at_ = 0; // microseconds since 1970
+    std::string event_;
+    std::string version_;
+    std::string identity_;
+    std::string method_;
+    std::string path_;
+};
+
 class node {
 public:
     http::address callers() const { return {"127.0.0.1", caller_port_}; }
@@ -64,6 +74,8 @@
     result<operators::daemon_status> status() const;
     // Value of a metric by its whole name with labels; 0 if absent.
     double metric(const std::string& name) const;
+    // What the backend server has noted so far.
+    std::vector<journal_entry> journal() const;
     // Sets faults of the backend server, such as "fail=100".
     void set_backend(const std::string& query) const;
 
@@ -82,16 +94,6 @@
     std::uint16_t backend_server_port_ = 0;
 };
 
-// A line of a backend server's journal.
-struct journal_entry {
-    std::uint64_t at_ = 0; // microseconds since 1970
-    std::string event_;
-    std::string version_;
-    std::string identity_;
-    std::string method_;
-    std::string path_;
-};
-
 class mesh {
 public:
     explicit mesh(const mesh_plan& plan);
