--- a/src/backend/door.cpp
+++ b/src/backend/door.cpp
@@ -84,6 +84,7 @@
 void door::apply(const decide::start_run& a)
 {
     ++metrics_.counter("guavahaven_gate_runs_total");
+    last_run_ = static_cast<std::uint64_t>(clock_.wall().time_since_epoch().count());
     const auto answered = [this, run = a.run_](const result<http::response>& r) {
         if (!ok(r))
             return handle(decide::run_broken{run});
--- a/src/backend/door.h
+++ b/src/backend/door.h
@@ -36,6 +36,8 @@
 
     bool busy() const { return gate_.busy(); }
     const decide::gate& state() const { return gate_; }
+    // When the last run began, microseconds since 1970; 0 if none did.
+    std::uint64_t last_run() const { return last_run_; }
     std::vector<decide::evidence> collect_evidence() { return gate_.collect_evidence(clock_.now()); }
 
 private:
@@ -56,6 +58,7 @@
     http::server server_;
     std::unique_ptr<http::client> backend_;
     http::address backend_address_;
+    std::uint64_t last_run_ = 0;
     time_point last_announcement_{};
     bool present_ = false;
     timer timer_;
--- a/src/decide/control.cpp
+++ b/src/decide/control.cpp
@@ -292,6 +292,7 @@
     if (!outcome.adopted_)
         return;
     moves_.set_configuration(*distribution_.configuration());
+    returns_.set_configuration(*distribution_.configuration(), last_tick_);
     configuration_stale_ = true;
     if (const auto change = distribution_.last_change())
         tell_neighbours(*change, from);
@@ -355,7 +356,8 @@
 void control::publish(time_point now)
 {
     const configuration_ptr shown = readiness_.ready() ? distribution_.configuration() : nullptr;
-    view_ = std::make_shared<const view>(view{shown, membership_.members(), effective_moves()});
+    view_ = std::make_shared<const view>(
+        view{shown, membership_.members(), effective_moves(), returns_.returning(now)});
     view_stale_ = false;
     configuration_stale_ = shown != distribution_.configuration();
     last_flush_ = now;
--- a/src/decide/control.h
+++ b/src/decide/control.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "base/random.h"
+#include "decide/data_center_return.h"
 #include "decide/distribution.h"
 #include "decide/failure_detector.h"
 #include "decide/membership.h"
@@ -165,6 +166,7 @@
     distribution distribution_;
     readiness readiness_;
     move_tracker moves_;
+    return_tracker returns_;
     random_engine random_;
     std::vector<daemon_name> seeds_;
     view_ptr view_;
--- /dev/null
+++ b/src/decide/data_center_return.cpp
@@ -0,0 +1,55 @@
+#include "decide/data_center_return.h"
+
+#include <algorithm>
+
+namespace guavahaven::decide {
+
+namespace {
+
+constexpr duration ramp_length = std::chrono::seconds(20);
+constexpr double first_share = 0.1;
+
+} // namespace
+
+double return_share(duration since_return)
+{
+    const double part = static_cast<double>(since_return.count()) / static_cast<double>(ramp_length.count());
+    return std::clamp(first_share + (1 - first_share) * part, first_share, 1.0);
+}
+
+void return_tracker::set_configuration(const configuration& c, time_point now)
+{
+    std::set<data_center_name> out;
+    for (const out_rule& r : c.outs_)
+        out.insert(r.data_center_);
+    for (const data_center_name& name : out_)
+        if (!out.contains(name))
+            returned_[name] = now;
+    std::erase_if(returned_, [&](const auto& r) { return out.contains(r.first); });
+    out_ = std::move(out);
+}
+
+std::vector<returning_data_center> return_tracker::returning(time_point now) const
+{
+    std::vector<returning_data_center> all;
+    for (const auto& [name, since] : returned_)
+        if (now - since < ramp_length)
+            all.push_back({name, since});
+    return all;
+}
+
+std::set<daemon_name> draw_left_aside(const view& known, random_engine& random, time_point now)
+{
+    std::set<daemon_name> gates;
+    for (const returning_data_center& r : known.returning_) {
+        const double share = return_share(now - r.since_);
+        if (share >= 1 || random_share(random) < share)
+            continue;
+        for (const member& m : known.members_)
+            if (m.data_center_ == r.data_center_)
+                gates.insert(m.name_);
+    }
+    return gates;
+}
+
+} // namespace guavahaven::decide
--- a/src/decide/view.h
+++ b/src/decide/view.h
@@ -60,10 +60,19 @@
 // Number of stages of a move; at the last one the version is watched before the move is done.
 std::uint32_t stage_count();
 
+// A data centre whose 'out' line has gone away, and when this daemon learned of it.
+struct returning_data_center {
+    data_center_name data_center_;
+    time_point since_;
+
+    friend bool operator==(const returning_data_center&, const returning_data_center&) = default;
+};
+
 struct view {
     configuration_ptr configuration_; // null until one is known
     std::vector<member> members_;     // sorted by name
     std::vector<move_fact> moves_;
+    std::vector<returning_data_center> returning_;
 
     const move_fact* find_move(move_id id) const;
 };
--- a/src/main/daemon.cpp
+++ b/src/main/daemon.cpp
@@ -226,7 +226,7 @@
         if (path == "/status")
             return e.reply({200,
                             {{"Content-Type", "application/json"}},
-                            to_json(operators::make_status(control_, backend_.state(), problems_))});
+                            to_json(operators::make_status(control_, backend_.state(), backend_.last_run(), problems_))});
         e.reply({404, {}, "known are /metrics and /status\n"});
     }
 
--- a/src/main/guavahaven.cpp
+++ b/src/main/guavahaven.cpp
@@ -10,7 +10,9 @@
 #include <sstream>
 #include <thread>
 
+#include "operator/capacity.h"
 #include "operator/explain.h"
+#include "operator/mesh_report.h"
 #include "operator/publisher.h"
 #include "operator/rules.h"
 #include "operator/status.h"
@@ -26,7 +28,7 @@
     R"(guavahaven: what every proxy of the mesh is to do, as written in one rules file.
 
 Usage:
-  guavahaven check FILE [--json]
+  guavahaven check FILE [--daemon=ADDRESS] [--json]
   guavahaven diff FILE --platform=ADDRESS [--json]
   guavahaven apply FILE --platform=ADDRESS [--daemon=ADDRESS] [--base=N] [--author=NAME] [--json]
   guavahaven status --daemon=ADDRESS [--watch] [--json]
@@ -47,7 +49,9 @@
   --platform=ADDRESS   IP:PORT of the platform's object API.
   --daemon=ADDRESS     IP:PORT of the operator port of any daemon. With apply, the
                        rules get a number above the highest in force, also when
-                       the platform was restored to an older state.
+                       the platform was restored to an older state. With check and
+                       apply, warns of services that the data centres that remain
+                       can't carry.
   --base=N             Number of the configuration that the file was made from; it
                        is refused if another one is current by now.
   --author=NAME        Who applies it; the login name by default.
@@ -157,20 +161,6 @@
     return std::get<decide::configuration>(std::move(parsed));
 }
 
-int check(const arguments& args)
-{
-    const auto rules = load_rules(args, args.at("FILE").asString());
-    if (!rules)
-        return refused;
-    if (as_json(args))
-        std::cout << json{{"valid", true}}.dump() << "\n";
-    else
-        std::cout << "valid: " << rules->services_.size() << " services, " << rules->routes_.size()
-                  << " routes, " << rules->moves_.size() << " moves, " << rules->outs_.size()
-                  << " data centres out\n";
-    return done;
-}
-
 void print_changes(const std::vector<operators::changed_line>& changes)
 {
     for (const operators::changed_line& c : changes)
@@ -264,6 +254,37 @@
     return configuration_number(ask_all(loop, value(first)).newest_);
 }
 
+// Warnings go to the error output, so that they never mix with JSON.
+void warn_of_capacity(event_loop& loop, const arguments& args, const decide::configuration& rules)
+{
+    const auto at = http::parse_address(args.at("--daemon").asString());
+    const auto first = ok(at) ? fetch_status(loop, value(at)) : failure(at);
+    if (!ok(first)) {
+        report(failure(first), unreachable);
+        return;
+    }
+    for (const std::string& line : operators::capacity_warnings(rules, ask_all(loop, value(first)).daemons_))
+        std::cerr << "warning: " << line << "\n";
+}
+
+int check(const arguments& args)
+{
+    const auto rules = load_rules(args, args.at("FILE").asString());
+    if (!rules)
+        return refused;
+    if (args.at("--daemon")) {
+        event_loop loop;
+        warn_of_capacity(loop, args, *rules);
+    }
+    if (as_json(args))
+        std::cout << json{{"valid", true}}.dump() << "\n";
+    else
+        std::cout << "valid: " << rules->services_.size() << " services, " << rules->routes_.size()
+                  << " routes, " << rules->moves_.size() << " moves, " << rules->outs_.size()
+                  << " data centres out\n";
+    return done;
+}
+
 void print_race_lost(const operators::published& winner, const decide::configuration& ours)
 {
     std::cout << "not applied: " << winner.record_.author_ << " applied configuration "
@@ -289,6 +310,7 @@
         if (!ok(highest))
             return report(failure(highest), unreachable);
         above = value(highest);
+        warn_of_capacity(session.loop_, args, *rules);
     }
     if (args.at("--base") &&
         static_cast<std::uint64_t>(args.at("--base").asLong()) != value(base).record_.number_.value()) {
@@ -338,13 +360,11 @@
     }
     for (const std::string& name : all.silent_)
         std::cout << "  silent   " << name << "\n";
-    for (const operators::move_report& m : all.asked_.moves_) {
-        std::cout << "move " << m.service_ << " to " << m.version_ << ": " << m.state_ << ", share "
-                  << m.share_ * 100 << "%" << (m.reason_.empty() ? "" : " (" + m.reason_ + ")") << "  # "
-                  << m.asked_by_ << "\n";
-    }
-    for (const operators::out_report& o : all.asked_.outs_)
-        std::cout << "out " << o.data_center_ << "  # " << o.asked_by_ << "\n";
+    const auto now = static_cast<std::uint64_t>(runtime_clock().wall().time_since_epoch().count());
+    for (const operators::move_report& m : operators::joined_moves(all.daemons_))
+        std::cout << operators::to_line(m) << "\n";
+    for (const operators::out_summary& o : operators::joined_outs(all.daemons_))
+        std::cout << operators::to_line(o, now) << "\n";
 }
 
 int status_once(const arguments& args, const http::address& at)
@@ -360,7 +380,9 @@
         print_status(all);
         return converged ? done : not_converged;
     }
-    json j = json::parse(operators::to_json(all.asked_));
+    operators::daemon_status shown = all.asked_;
+    shown.moves_ = operators::joined_moves(all.daemons_);
+    json j = json::parse(operators::to_json(shown));
     j["newest_configuration"] = all.newest_;
     j["daemons"] = total;
     j["daemons_current"] = count_current(all);
@@ -417,16 +439,6 @@
     return done;
 }
 
-std::string utc(std::uint64_t microseconds)
-{
-    const std::time_t seconds = static_cast<std::time_t>(microseconds / 1'000'000);
-    std::tm fields{};
-    gmtime_r(&seconds, &fields);
-    char text[32];
-    const std::size_t length = std::strftime(text, sizeof text, "%Y-%m-%dT%H:%M:%SZ", &fields);
-    return {text, length};
-}
-
 int history(const arguments& args)
 {
     const auto at = platform_of(args);
@@ -444,7 +456,8 @@
         if (!ok(past))
             continue; // the writer ended before it could keep this one
         const decide::configuration_record& r = value(past);
-        all.push_back({{"configuration", n}, {"written_at", utc(r.written_at_)}, {"author", r.author_}});
+        all.push_back(
+            {{"configuration", n}, {"written_at", operators::utc(r.written_at_)}, {"author", r.author_}});
     }
     if (as_json(args)) {
         std::cout << all.dump() << "\n";
--- a/src/operator/status.cpp
+++ b/src/operator/status.cpp
@@ -1,5 +1,6 @@
 #include "operator/status.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace guavahaven::operators {
@@ -10,8 +11,15 @@
 
 json to_object(const move_report& m)
 {
-    return {{"service", m.service_}, {"version", m.version_},   {"state", m.state_}, {"share", m.share_},
-            {"reason", m.reason_},   {"asked_by", m.asked_by_}, {"since", m.since_}};
+    return {{"service", m.service_}, {"version", m.version_},  {"state", m.state_},
+            {"share", m.share_},     {"reason", m.reason_},    {"asked_by", m.asked_by_},
+            {"since", m.since_},     {"deadline", m.deadline_}};
+}
+
+json to_object(const own_backend_report& o)
+{
+    return {{"service", o.service_}, {"version", o.version_},     {"slots", o.slots_},
+            {"limit", o.limit_},     {"in_flight", o.in_flight_}, {"last_run", o.last_run_}};
 }
 
 json to_object(const member_report& m)
@@ -37,7 +45,13 @@
 move_report to_move(const json& j)
 {
     return {j.at("service"), j.at("version"),  j.at("state"), j.at("share"),
-            j.at("reason"),  j.at("asked_by"), j.at("since")};
+            j.at("reason"),  j.at("asked_by"), j.at("since"), j.at("deadline")};
+}
+
+own_backend_report to_own(const json& j)
+{
+    return {j.at("service"), j.at("version"),   j.at("slots"),
+            j.at("limit"),   j.at("in_flight"), j.at("last_run")};
 }
 
 member_report to_member(const json& j)
@@ -46,28 +60,36 @@
             j.at("state"), j.at("service"),  j.at("version")};
 }
 
-move_report report_of(const decide::move_rule& rule, const decide::move_fact& fact)
+move_report report_of(const decide::move_rule& rule, const decide::move_fact* known,
+                      const std::string& waiting_for, bool announced)
 {
+    const decide::move_fact fact = known ? *known : decide::move_fact{};
     move_report m;
     m.service_ = rule.service_.str();
     m.version_ = rule.version_.str();
     m.state_ = fact.withdrawn_ ? "taken back" : fact.done_ ? "done" : "underway";
-    m.share_ = decide::share_of(rule, fact);
-    m.reason_ = fact.reason_;
+    m.share_ = known ? decide::share_of(rule, fact) : 0;
+    m.reason_ = fact.withdrawn_ ? fact.reason_ : fact.done_ ? "" : waiting_for;
+    if (m.state_ == "underway" && !announced)
+        m.reason_ = "no backend server has announced the version";
     m.asked_by_ = rule.origin_.asked_by_;
     m.since_ = fact.since_;
+    m.deadline_ = static_cast<std::uint64_t>(rule.deadline_.time_since_epoch().count());
     return m;
 }
 
 } // namespace
 
-daemon_status make_status(const decide::control& control, const decide::gate& gate,
+daemon_status make_status(const decide::control& control, const decide::gate& gate, std::uint64_t last_run,
                           const std::vector<std::string>& problems)
 {
     daemon_status s;
     s.name_ = control.self().name_.str();
     s.data_center_ = control.self().data_center_.str();
     s.serving_ = gate.serving();
+    const decide::member& self = control.self();
+    const decide::load_report load = gate.load();
+    s.own_ = {self.service_.str(), self.version_.str(), self.slots_, load.limit_, load.in_flight_, last_run};
     s.problems_ = problems;
     const decide::view_ptr view = control.current();
     for (const decide::member& m : view->members_)
@@ -78,8 +100,12 @@
     s.configuration_ = view->configuration_->number_.value();
     s.configuration_author_ = control.record()->author_;
     for (const decide::move_rule& rule : view->configuration_->moves_) {
-        const decide::move_fact* fact = view->find_move(rule.id());
-        s.moves_.push_back(report_of(rule, fact ? *fact : decide::move_fact{}));
+        const auto serves = [&](const decide::member& m) {
+            return m.service_ == rule.service_ && m.version_ == rule.version_;
+        };
+        const bool announced = std::any_of(view->members_.begin(), view->members_.end(), serves);
+        s.moves_.push_back(
+            report_of(rule, view->find_move(rule.id()), control.moves().waiting_for(rule.id()), announced));
     }
     for (const decide::out_rule& rule : view->configuration_->outs_)
         s.outs_.push_back({rule.data_center_.str(), rule.origin_.asked_by_});
@@ -93,6 +119,7 @@
                  {"configuration", s.configuration_},
                  {"configuration_author", s.configuration_author_},
                  {"serving", s.serving_},
+                 {"own", to_object(s.own_)},
                  {"members", to_array(s.members_)},
                  {"moves", to_array(s.moves_)},
                  {"out", to_array(s.outs_)},
@@ -110,6 +137,7 @@
         s.configuration_ = j.at("configuration");
         s.configuration_author_ = j.at("configuration_author");
         s.serving_ = j.at("serving");
+        s.own_ = to_own(j.at("own"));
         for (const json& m : j.at("members"))
             s.members_.push_back(to_member(m));
         for (const json& m : j.at("moves"))
