--- a/src/decide/call.h
+++ b/src/decide/call.h
@@ -23,9 +23,6 @@
     friend auto operator<=>(const call_id&, const call_id&) = default;
 };
 
-// One request given to the backend server; unique within its gate.
-using run_id = strong_number<struct run_tag>;
-
 // What a gate knows of its backend server's load, carried on every answer.
 struct load_report {
     std::uint32_t in_flight_ = 0;
@@ -38,8 +35,11 @@
 // entry -> gate: run this request.
 struct call {
     call_id id_;
-    std::string identity_; // idempotency key, or one made up by the entry
-    bool once_ = false;    // must not run twice
+    incarnation gate_;                 // of the gate that is meant; a later one refuses
+    std::string identity_;             // idempotency key, or one made up by the entry
+    bool keyed_ = false;               // the identity is the caller's own key
+    std::uint64_t request_number_ = 0; // sequence of the first attempt of the same request
+    bool once_ = false;                // must not run twice
     service_name service_;
     version_name version_;
     class_name class_;
@@ -80,6 +80,7 @@
     call_id id_;
     code code_ = code::not_run;
     load_report load_;
+    int earlier_status_ = 0; // of an earlier run under the same idempotency key; 0 if not known
     friend bool operator==(const refusal&, const refusal&) = default;
 };
 
@@ -102,6 +103,7 @@
 // run, it must not run any more.
 struct fence {
     call_id id_;
+    incarnation gate_; // that the call was sent to
     friend bool operator==(const fence&, const fence&) = default;
 };
 
@@ -110,11 +112,13 @@
     never_ran, // and never will
     running,   // its answer will follow on this connection
     ran,       // and its answer is gone
+    unknown,   // this gate can't know, for it was started later or has forgotten
 };
 
 // gate -> entry
 struct fence_verdict {
     call_id id_;
+    incarnation gate_; // that answers
     fate fate_ = fate::never_ran;
     friend bool operator==(const fence_verdict&, const fence_verdict&) = default;
 };
--- a/src/decide/evidence_book.h
+++ b/src/decide/evidence_book.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "decide/call.h"
+#include "decide/concurrency_limit.h"
 #include "decide/configuration.h"
 #include "decide/gossip.h"
 
