--- a/src/decide/control.cpp
+++ b/src/decide/control.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr duration digest_interval = std::chrono::seconds(1);
+constexpr duration judge_interval = std::chrono::milliseconds(200);
 constexpr duration flush_interval =
     std::chrono::milliseconds(20);                        // least time between two passings-on of news
 constexpr duration pause_least = std::chrono::seconds(1); // between ticks: this process stood still
@@ -72,6 +73,7 @@
 
 void control::on(const platform_moves& e, time_point)
 {
+    moves_.facts_read(e.service_);
     spread(moves_.merge(e.facts_), daemon_name());
 }
 
@@ -83,10 +85,26 @@
 
 void control::on(const own_evidence& e, time_point)
 {
-    if (e.items_.empty())
+    const configuration_ptr& c = distribution_.configuration();
+    if (!c)
         return;
-    moves_.merge(e.items_);
-    tell_neighbours(evidence_report{e.items_}, daemon_name());
+    for (evidence item : e.items_) {
+        const auto rule = std::find_if(c->moves_.begin(), c->moves_.end(),
+                                       [&](const move_rule& r) { return r.id() == item.move_; });
+        const move_fact* fact = view_->find_move(item.move_);
+        if (rule == c->moves_.end() || !fact || fact->done_ || fact->withdrawn_)
+            continue;
+        item.gate_ = self().name_;
+        item.incarnation_ = self().incarnation_;
+        item.data_center_ = self().data_center_;
+        item.second_ = e.second_;
+        for (const daemon_name& judge : judges_of(*rule, view_->members_)) {
+            if (judge == self().name_)
+                moves_.merge(std::vector<evidence>{item});
+            else
+                send(judge, evidence_report{{item}});
+        }
+    }
 }
 
 void control::on(const control_tick& e, time_point now)
@@ -95,11 +113,9 @@
     note_pause(now);
     spread(membership_.tick(now), daemon_name());
     probe_silent(now);
-    if (const configuration_ptr& c = distribution_.configuration()) {
-        const std::vector<move_fact> changed = moves_.tick(*c, e.wall_, now);
-        for (const move_fact& f : changed)
-            actions_.push_back(store_move{f});
-        spread(changed, daemon_name());
+    if (now - last_judged_ >= judge_interval) {
+        last_judged_ = now;
+        judge_moves();
     }
     if (now - last_digest_ >= digest_interval)
         exchange_digests(now);
@@ -251,7 +267,12 @@
 
 void control::take(const daemon_name& from, const move_facts& m, time_point)
 {
-    spread(moves_.merge(m.facts_), from);
+    const std::vector<move_fact> news = moves_.merge(m.facts_);
+    // The judges may be gone before the platform can be written.
+    for (const move_fact& f : news)
+        if (watching_)
+            actions_.push_back(store_move{f});
+    spread(news, from);
 }
 
 void control::take(const daemon_name&, const evidence_report& m, time_point)
@@ -271,6 +292,7 @@
     if (!outcome.adopted_)
         return;
     moves_.set_configuration(*distribution_.configuration());
+    returns_.set_configuration(*distribution_.configuration(), last_tick_);
     configuration_stale_ = true;
     if (const auto change = distribution_.last_change())
         tell_neighbours(*change, from);
@@ -334,13 +356,33 @@
 void control::publish(time_point now)
 {
     const configuration_ptr shown = readiness_.ready() ? distribution_.configuration() : nullptr;
-    view_ = std::make_shared<const view>(view{shown, membership_.members(), moves_.facts()});
+    view_ = std::make_shared<const view>(
+        view{shown, membership_.members(), effective_moves(), returns_.returning(now)});
     view_stale_ = false;
     configuration_stale_ = shown != distribution_.configuration();
     last_flush_ = now;
     actions_.push_back(publish_view{view_});
 }
 
+void control::judge_moves()
+{
+    const configuration_ptr& c = distribution_.configuration();
+    if (!c)
+        return;
+    const std::vector<move_fact> changed = moves_.tick(*c, view_->members_, self().name_, wall_);
+    for (const move_fact& f : changed)
+        actions_.push_back(store_move{f});
+    spread(changed, daemon_name());
+    if (view_->moves_ != effective_moves())
+        view_stale_ = true; // a deadline has passed
+}
+
+std::vector<move_fact> control::effective_moves() const
+{
+    const configuration_ptr& c = distribution_.configuration();
+    return c ? moves_.effective_facts(*c, wall_) : std::vector<move_fact>{};
+}
+
 void control::update_watch(time_point now)
 {
     const bool was_ready = readiness_.ready();
--- a/src/decide/control.h
+++ b/src/decide/control.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "base/random.h"
+#include "decide/data_center_return.h"
 #include "decide/distribution.h"
 #include "decide/failure_detector.h"
 #include "decide/membership.h"
@@ -39,8 +40,9 @@
     std::vector<daemon_name> seeds_;
     friend bool operator==(const seeds_known&, const seeds_known&) = default;
 };
-// Move facts kept in the platform.
+// Move facts kept in the platform for a service.
 struct platform_moves {
+    service_name service_;
     std::vector<move_fact> facts_;
     friend bool operator==(const platform_moves&, const platform_moves&) = default;
 };
@@ -52,8 +54,10 @@
     bool draining_ = false;
     friend bool operator==(const own_backend&, const own_backend&) = default;
 };
-// What this gate has seen of its own backend server, cumulative.
+// What this gate has seen of its own backend server up to the end of a
+// wall-clock second; its name, incarnation and data centre are filled in here.
 struct own_evidence {
+    std::uint64_t second_ = 0;
     std::vector<evidence> items_;
     friend bool operator==(const own_evidence&, const own_evidence&) = default;
 };
@@ -104,7 +108,7 @@
     view_ptr current() const { return view_; }
     const member& self() const { return membership_.self(); }
     const std::optional<configuration_record>& record() const { return distribution_.record(); }
-    std::vector<evidence> known_evidence() const { return moves_.known_evidence(); }
+    const move_tracker& moves() const { return moves_; }
 
 private:
     struct heard_news {
@@ -153,12 +157,16 @@
     void publish(time_point now);
     void update_watch(time_point now);
     void note_pause(time_point now);
+    void judge_moves();
+    // Facts as they act now, deadlines included.
+    std::vector<move_fact> effective_moves() const;
 
     membership membership_;
     failure_detector detector_;
     distribution distribution_;
     readiness readiness_;
     move_tracker moves_;
+    return_tracker returns_;
     random_engine random_;
     std::vector<daemon_name> seeds_;
     view_ptr view_;
@@ -170,6 +178,7 @@
     time_point last_tick_;
     time_point last_flush_{};
     time_point last_digest_{};
+    time_point last_judged_{};
     time_point last_seed_check_{};
     wall_time wall_{};
     control_actions actions_;
