--- a/src/decide/gate.cpp
+++ b/src/decide/gate.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "base/guards.h"
 #include "base/hash.h"
 
 namespace guavahaven::decide {
@@ -102,17 +103,17 @@
         return code::draining;
     if (!backend_ || backend_->service_ != c.service_)
         return code::no_backend_server;
-    if (backend_->draining_)
+    if (backend_->draining_ && guarded(guard::drain_refusal))
         return code::draining;
     if (backend_->version_ != c.version_)
         return code::not_run;
     if (!view_ || !view_->configuration_)
         return code::starting;
-    if (out())
+    if (out() && guarded(guard::out_refusal))
         return code::data_center_out;
     const move_rule* move = view_->configuration_->find_move(c.service_);
     const move_fact* fact = move ? view_->find_move(move->id()) : nullptr;
-    if (fact && fact->withdrawn_ && fact->version_ == c.version_)
+    if (fact && fact->withdrawn_ && fact->version_ == c.version_ && guarded(guard::withdrawn_refusal))
         return code::version_withdrawn;
     return code::ok;
 }
@@ -127,16 +128,16 @@
         return refuse(key, code::not_run, now);
     if (const code why = admission(c); why != code::ok)
         return refuse(key, why, now);
-    if (take_repeat(key, c, now))
+    if (guarded(guard::once_memory) && take_repeat(key, c, now))
         return;
 
     held_call held = make_held(key, c, now);
     if (too_late(held, now))
         return refuse(key, code::overloaded, now);
-    if (c.once_ && !remember_once(held))
+    if (c.once_ && !remember_once(held) && guarded(guard::once_memory))
         return refuse(key, code::overloaded, now);
     send(from, receipt{c.id_});
-    if (c.once_ && c.keyed_)
+    if (c.once_ && c.keyed_ && guarded(guard::once_memory))
         return claim_key(std::move(held), now);
     enqueue(std::move(held), now);
 }
@@ -276,7 +277,7 @@
 {
     const auto say = [&](fate known) { send(from, fence_verdict{f.id_, started_, known}); };
     const call_key key{from, f.id_};
-    if (f.gate_ != started_)
+    if (f.gate_ != started_ && guarded(guard::unknown_outcome))
         return say(fate::unknown);
     if (const auto running = find_running(key); running != running_.end())
         return say(fate::running);
