--- a/src/decide/evidence_book.cpp
+++ b/src/decide/evidence_book.cpp
@@ -30,13 +30,13 @@
     const class_rule* class_of_call = rules.find_class(c.class_);
     if (!move || !class_of_call)
         return;
+    add_busy(now);
     open_[run] = {{move->id(), c.version_, c.route_, c.class_},
                   now,
                   c.remaining_,
                   slow_basis(*class_of_call),
                   fingerprint(c),
                   0};
-    most_open_ = std::max(most_open_, static_cast<std::uint32_t>(open_.size()));
 }
 
 void evidence_book::run_answered(run_id run, int status, bool complete, time_point now)
@@ -87,6 +87,7 @@
         if (known.size() > deaths_most)
             known.erase(known.begin());
     }
+    add_busy(now);
     open_.erase(at);
 }
 
@@ -98,6 +99,7 @@
 std::vector<evidence> evidence_book::collect(const configuration& rules, const gate_state& state,
                                              time_point now)
 {
+    add_busy(now);
     count_overdue(now);
     const auto unnamed = [&](move_id id) {
         return std::none_of(rules.moves_.begin(), rules.moves_.end(),
@@ -120,20 +122,28 @@
         e.move_ = key.first;
         e.version_ = key.second;
         e.limit_ = state.load_.limit_;
-        e.most_busy_ = most_open_ + state.load_.queued_;
+        e.busy_ = busy_;
         all.push_back(std::move(e));
     }
-    most_open_ = static_cast<std::uint32_t>(open_.size());
+    busy_ = {};
     return all;
 }
 
 void evidence_book::end(run_id run, bool failed, time_point now)
 {
     const auto at = open_.find(run);
+    add_busy(now);
     count(at->second, failed, now);
     open_.erase(at);
 }
 
+// Called before the runs under way change.
+void evidence_book::add_busy(time_point now)
+{
+    busy_ += (now - busy_until_) * static_cast<duration::rep>(open_.size());
+    busy_until_ = now;
+}
+
 void evidence_book::count(const open_run& r, bool failed, time_point now)
 {
     counts& c = counts_[r.place_];
--- a/src/decide/evidence_book.h
+++ b/src/decide/evidence_book.h
@@ -75,11 +75,13 @@
     void count(const open_run& r, bool failed, time_point now);
     void end(run_id run, bool failed, time_point now);
     void count_overdue(time_point now);
+    void add_busy(time_point now);
 
     std::map<run_id, open_run> open_;
     std::map<place, counts> counts_;
     std::map<version_key, std::vector<std::uint64_t>> deaths_;
-    std::uint32_t most_open_ = 0; // runs at once since the last collection
+    duration busy_{}; // run time since the last collection
+    time_point busy_until_{};
 };
 
 } // namespace guavahaven::decide
--- a/src/decide/gossip.h
+++ b/src/decide/gossip.h
@@ -115,7 +115,7 @@
     data_center_name data_center_;
     std::uint64_t second_ = 0;          // the wall-clock second, since 1970, that the counts end with
     std::uint32_t limit_ = 0;           // runs at once that the gate admits
-    std::uint32_t most_busy_ = 0;       // runs and waiting calls at once, at most, within that second
+    duration busy_{};                   // run time within that second, over all runs
     std::vector<std::uint64_t> deaths_; // fingerprints of the last requests whose runs broke off
     std::vector<route_counts> routes_;
     friend bool operator==(const evidence&, const evidence&) = default;
--- a/src/decide/move_tracker.cpp
+++ b/src/decide/move_tracker.cpp
@@ -16,7 +16,7 @@
 constexpr std::uint64_t answers_least = 10;   // good ones of the new version at each stage
 constexpr std::uint64_t route_runs_least = 3; // of the new version on each route in use
 constexpr std::uint64_t route_in_use = 30;    // runs of the old version at a stage
-constexpr double capacity_used_most = 0.8;    // of what the new version's gates admit
+constexpr double capacity_used_most = 1.0;    // mean runs at once, of what the gates admit now
 constexpr duration evidence_delay = std::chrono::milliseconds(600); // for reports of a second to come in
 constexpr duration platform_patience = std::chrono::seconds(5);
 constexpr std::size_t withdrawals_kept = 64;
@@ -224,7 +224,7 @@
         return "time at this share";
     move_fact next = fact;
     ++next.stage_;
-    const double needed = share_of(rule, next) * static_cast<double>(j.judge_.demand());
+    const double needed = share_of(rule, next) * j.judge_.demand();
     if (needed > capacity_used_most * static_cast<double>(j.judge_.capacity()))
         return "its backend servers are not yet warm enough for the next share";
     return {};
--- a/src/peer/layouts.h
+++ b/src/peer/layouts.h
@@ -102,7 +102,7 @@
 GUAVAHAVEN_LAYOUT(decide::evidence, &decide::evidence::move_, &decide::evidence::gate_,
                   &decide::evidence::incarnation_, &decide::evidence::version_,
                   &decide::evidence::data_center_, &decide::evidence::second_, &decide::evidence::limit_,
-                  &decide::evidence::most_busy_, &decide::evidence::deaths_, &decide::evidence::routes_);
+                  &decide::evidence::busy_, &decide::evidence::deaths_, &decide::evidence::routes_);
 GUAVAHAVEN_LAYOUT(decide::evidence_report, &decide::evidence_report::items_);
 
 GUAVAHAVEN_LAYOUT(decide::seed, &decide::seed::data_center_, &decide::seed::daemon_);
