--- a/src/main/daemon.cpp
+++ b/src/main/daemon.cpp
@@ -234,7 +234,8 @@
         if (path == "/status")
             return e.reply({200,
                             {{"Content-Type", "application/json"}},
-                            to_json(operators::make_status(control_, backend_.state(), backend_.last_run(), problems_))});
+                            to_json(operators::make_status(control_, backend_.state(), backend_.last_run(),
+                                                           problems_))});
         e.reply({404, {}, "known are /metrics and /status\n"});
     }
 
