--- a/src/decide/control.cpp
+++ b/src/decide/control.cpp
@@ -8,9 +8,11 @@
 
 constexpr duration digest_interval = std::chrono::seconds(1);
 constexpr duration flush_interval =
-    std::chrono::milliseconds(20);                        // least time between two passings-on of news
-constexpr duration pause_least = std::chrono::seconds(1); // between ticks: this process stood still
-constexpr duration watch_settle = std::chrono::milliseconds(500); // after the start, to learn of others
+    std::chrono::milliseconds(20); // least time between two passings-on of news
+constexpr duration repair_interval = std::chrono::milliseconds(900);
+constexpr duration sweep_interval = std::chrono::milliseconds(200); // over all members
+constexpr duration pause_least = std::chrono::seconds(1);           // between ticks: this process stood still
+constexpr duration watch_settle = std::chrono::milliseconds(500);   // after the start, to learn of others
 constexpr duration seed_check_interval = std::chrono::seconds(30);
 constexpr std::size_t seeds_met = 4; // asked at once
 constexpr std::ptrdiff_t seeds_most = 128;
@@ -65,6 +67,8 @@
     std::shuffle(seeds_.begin(), seeds_.end(), random_);
     for (std::size_t i = 0; i < std::min(seeds_met, seeds_.size()); ++i) {
         send(seeds_[i], announcements{{self()}}, true);
+        if (i == 0) // one list of all members is enough
+            send(seeds_[i], member_buckets{membership_.bucket_hashes()});
         send(seeds_[i], own_digest());
         readiness_.neighbours_asked();
     }
@@ -93,7 +97,11 @@
 {
     wall_ = e.wall_;
     note_pause(now);
-    spread(membership_.tick(now), daemon_name());
+    const bool sweep = now - last_sweep_ >= sweep_interval;
+    if (sweep) {
+        last_sweep_ = now;
+        spread(membership_.tick(now), daemon_name());
+    }
     probe_silent(now);
     if (const configuration_ptr& c = distribution_.configuration()) {
         const std::vector<move_fact> changed = moves_.tick(*c, e.wall_, now);
@@ -103,7 +111,8 @@
     }
     if (now - last_digest_ >= digest_interval)
         exchange_digests(now);
-    update_watch(now);
+    if (sweep)
+        update_watch(now);
 }
 
 // After a pause the silence of others tells nothing.
@@ -182,8 +191,10 @@
     settle(distribution_.heard_of(m.configuration_, m.configuration_hash_), from);
     if (const auto update = distribution_.update_for(m.configuration_, m.configuration_hash_))
         send(from, *update);
-    if (m.members_ != membership_.hash())
+    if (m.members_ != membership_.hash() && now - last_repair_ >= repair_interval) {
+        last_repair_ = now;
         send(from, member_buckets{membership_.bucket_hashes()});
+    }
     if (m.moves_ != moves_.hash())
         send(from, move_facts{moves_.facts()});
     send(from, digest_received{});
--- a/src/decide/control.h
+++ b/src/decide/control.h
@@ -170,6 +170,8 @@
     time_point last_tick_;
     time_point last_flush_{};
     time_point last_digest_{};
+    time_point last_repair_{};
+    time_point last_sweep_{};
     time_point last_seed_check_{};
     wall_time wall_{};
     control_actions actions_;
--- /dev/null
+++ b/tests/decide/control_test.cpp
@@ -0,0 +1,168 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "decide/control.h"
+
+namespace guavahaven::decide {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+result<configuration> parse(const configuration_record& record)
+{
+    configuration c;
+    c.number_ = record.number_;
+    c.text_ = record.text_;
+    return c;
+}
+
+member daemon_at(const std::string& name)
+{
+    member m;
+    m.name_ = daemon_name(name);
+    m.incarnation_ = incarnation(1);
+    m.data_center_ = data_center_name("leon");
+    return m;
+}
+
+const daemon_name other("b");
+
+struct started_daemon {
+    time_point now_{seconds(100)};
+    control control_{daemon_at("a"), 1, parse, now_};
+
+    control_actions handle(const control_event& e) { return control_.handle(e, now_); }
+    control_actions hear(const control_message& m) { return handle(control_received{other, m}); }
+    // Time passes, with a tick every 50 ms.
+    control_actions pass(duration time)
+    {
+        control_actions all;
+        for (const time_point end = now_ + time; now_ < end;) {
+            now_ += milliseconds(50);
+            for (control_action& a : handle(control_tick{}))
+                all.push_back(std::move(a));
+        }
+        return all;
+    }
+    bool serves(std::uint64_t number) const
+    {
+        const configuration_ptr c = control_.current()->configuration_;
+        return c && c->number_ == configuration_number(number);
+    }
+};
+
+configuration_record record_of(std::uint64_t number, const std::string& text)
+{
+    return {configuration_number(number), "test", 0, text};
+}
+
+template <class Message>
+const Message* find_sent(const control_actions& actions, const daemon_name& to)
+{
+    for (const control_action& a : actions)
+        if (const auto* sent = std::get_if<send_control>(&a); sent && sent->to_ == to)
+            if (const auto* m = std::get_if<Message>(&sent->message_))
+                return m;
+    return nullptr;
+}
+
+bool has_problem(const control_actions& actions, code c)
+{
+    return std::any_of(actions.begin(), actions.end(), [c](const control_action& a) {
+        const auto* p = std::get_if<report_problem>(&a);
+        return p && p->error_.code_ == c;
+    });
+}
+
+} // namespace
+
+TEST(starting_daemon, serves_only_with_the_highest_configuration_it_can_learn_of)
+{
+    started_daemon d;
+    // Given a platform that was restored to an older state, and a neighbour
+    d.handle(seeds_known{{other}});
+    d.handle(platform_configuration{record_of(4, "four")});
+    d.handle(platform_asked{true});
+    d.pass(milliseconds(200));
+    // Then the daemon does not serve before the neighbour has answered
+    EXPECT_FALSE(d.serves(4));
+    d.hear(configuration_whole{record_of(5, "five"), hash_of("five")});
+    d.hear(digest_received{});
+    d.pass(milliseconds(200));
+    EXPECT_TRUE(d.serves(5));
+}
+
+TEST(starting_daemon, serves_by_its_neighbours_when_the_platform_is_down)
+{
+    started_daemon d;
+    d.handle(seeds_known{{other}});
+    d.hear(configuration_whole{record_of(5, "five"), hash_of("five")});
+    d.hear(digest_received{});
+    EXPECT_FALSE(d.serves(5));
+    d.handle(platform_asked{false});
+    d.pass(milliseconds(200));
+    EXPECT_TRUE(d.serves(5));
+}
+
+TEST(starting_daemon, goes_on_after_a_bounded_wait_and_states_so)
+{
+    started_daemon d;
+    d.handle(seeds_known{{other}});
+    d.handle(platform_asked{false});
+    EXPECT_TRUE(has_problem(d.pass(seconds(6)), code::started_unconfirmed));
+    // And what it learns later is in force at once
+    d.hear(configuration_whole{record_of(5, "five"), hash_of("five")});
+    EXPECT_TRUE(d.serves(5));
+}
+
+TEST(control, asks_for_the_whole_when_a_delta_is_no_use)
+{
+    started_daemon d;
+    const configuration_delta stray{
+        configuration_number(7), hash_of("seven"), record_of(8, ""), hash_of("eight"), {{0, 1, ""}}};
+    const control_actions actions = d.hear(stray);
+    const auto* wanted = find_sent<configuration_wanted>(actions, other);
+    ASSERT_NE(wanted, nullptr);
+    EXPECT_EQ(wanted->above_, configuration_number(0));
+}
+
+TEST(control, answers_every_digest_and_sends_what_the_sender_lacks)
+{
+    started_daemon d;
+    d.handle(platform_configuration{record_of(3, "three")});
+    const control_actions actions = d.hear(digest{});
+    EXPECT_NE(find_sent<digest_received>(actions, other), nullptr);
+    const auto* whole = find_sent<configuration_whole>(actions, other);
+    ASSERT_NE(whole, nullptr);
+    EXPECT_EQ(whole->record_.text_, "three");
+}
+
+TEST(control, lets_a_doubted_daemon_refute)
+{
+    started_daemon d;
+    member doubted = daemon_at("b");
+    doubted.state_ = member_state::suspect;
+    d.hear(announcements{{doubted}});
+    // When the doubted daemon is heard of, it is told
+    const control_actions actions = d.hear(digest{});
+    const auto* told = find_sent<announcements>(actions, other);
+    ASSERT_NE(told, nullptr);
+    EXPECT_EQ(told->members_, std::vector<member>{doubted});
+}
+
+TEST(control, publishes_one_view_for_a_flood_of_news)
+{
+    started_daemon d;
+    std::size_t views = 0;
+    for (int i = 0; i < 500; ++i)
+        for (const control_action& a : d.hear(announcements{{daemon_at("c" + std::to_string(i))}}))
+            views += std::holds_alternative<publish_view>(a) ? 1 : 0;
+    EXPECT_LE(views, 1U);
+    d.pass(milliseconds(100));
+    EXPECT_EQ(d.control_.current()->members_.size(), 501U);
+}
+
+} // namespace guavahaven::decide
--- /dev/null
+++ b/tests/decide/seeds_test.cpp
@@ -0,0 +1,39 @@
+#include <gtest/gtest.h>
+
+#include "decide/seeds.h"
+
+namespace guavahaven::decide {
+
+namespace {
+
+const data_center_name leon("leon");
+const data_center_name celaya("celaya");
+
+seed seed_of(const data_center_name& d, const std::string& name)
+{
+    return {d, daemon_name(name)};
+}
+
+} // namespace
+
+TEST(seeds, are_few_and_replaced_when_absent_twice)
+{
+    const std::vector<daemon_name> candidates{daemon_name("a"), daemon_name("b"), daemon_name("c"),
+                                              daemon_name("d")};
+    // Given an empty platform, three are kept
+    const std::vector<seed> first = refresh_seeds({}, leon, candidates, {});
+    EXPECT_EQ(first, (std::vector{seed_of(leon, "a"), seed_of(leon, "b"), seed_of(leon, "c")}));
+
+    // When one is absent for the first time, nothing is written; then it gives way
+    const std::vector<daemon_name> rest{daemon_name("a"), daemon_name("c"), daemon_name("d")};
+    EXPECT_EQ(refresh_seeds(first, leon, rest, {}), first);
+    EXPECT_EQ(refresh_seeds(first, leon, rest, {daemon_name("b")}),
+              (std::vector{seed_of(leon, "a"), seed_of(leon, "c"), seed_of(leon, "d")}));
+
+    // And those of other data centres are left alone
+    const std::vector<seed> foreign{seed_of(celaya, "x")};
+    EXPECT_EQ(refresh_seeds(foreign, leon, {daemon_name("a")}, {daemon_name("x")}),
+              (std::vector{seed_of(celaya, "x"), seed_of(leon, "a")}));
+}
+
+} // namespace guavahaven::decide
