--- a/src/decide/control.cpp
+++ b/src/decide/control.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr duration digest_interval = std::chrono::seconds(1);
+constexpr duration judge_interval = std::chrono::milliseconds(200);
 constexpr duration flush_interval =
     std::chrono::milliseconds(20); // least time between two passings-on of news
 constexpr duration repair_interval = std::chrono::milliseconds(900);
@@ -76,6 +77,7 @@
 
 void control::on(const platform_moves& e, time_point)
 {
+    moves_.facts_read(e.service_);
     spread(moves_.merge(e.facts_), daemon_name());
 }
 
@@ -87,10 +89,26 @@
 
 void control::on(const own_evidence& e, time_point)
 {
-    if (e.items_.empty())
+    const configuration_ptr& c = distribution_.configuration();
+    if (!c)
         return;
-    moves_.merge(e.items_);
-    tell_neighbours(evidence_report{e.items_}, daemon_name());
+    for (evidence item : e.items_) {
+        const auto rule = std::find_if(c->moves_.begin(), c->moves_.end(),
+                                       [&](const move_rule& r) { return r.id() == item.move_; });
+        const move_fact* fact = view_->find_move(item.move_);
+        if (rule == c->moves_.end() || !fact || fact->done_ || fact->withdrawn_)
+            continue;
+        item.gate_ = self().name_;
+        item.incarnation_ = self().incarnation_;
+        item.data_center_ = self().data_center_;
+        item.second_ = e.second_;
+        for (const daemon_name& judge : judges_of(*rule, view_->members_)) {
+            if (judge == self().name_)
+                moves_.merge(std::vector<evidence>{item});
+            else
+                send(judge, evidence_report{{item}});
+        }
+    }
 }
 
 void control::on(const control_tick& e, time_point now)
@@ -103,11 +121,9 @@
         spread(membership_.tick(now), daemon_name());
     }
     probe_silent(now);
-    if (const configuration_ptr& c = distribution_.configuration()) {
-        const std::vector<move_fact> changed = moves_.tick(*c, e.wall_, now);
-        for (const move_fact& f : changed)
-            actions_.push_back(store_move{f});
-        spread(changed, daemon_name());
+    if (now - last_judged_ >= judge_interval) {
+        last_judged_ = now;
+        judge_moves();
     }
     if (now - last_digest_ >= digest_interval)
         exchange_digests(now);
@@ -135,6 +151,13 @@
 {
     last_digest_ = now;
     tell_neighbours(own_digest(), daemon_name());
+    const std::vector<daemon_name>& neighbours = membership_.neighbours();
+    for (const daemon_name& name : std::exchange(digested_, neighbours)) {
+        const member* held = membership_.find(name);
+        const bool left = std::find(neighbours.begin(), neighbours.end(), name) == neighbours.end();
+        if (left && held && held->state_ == member_state::alive)
+            send(name, digests_end{});
+    }
     probe_doubted();
     if (membership_.neighbours().empty())
         meet_seeds();
@@ -205,6 +228,11 @@
     readiness_.neighbour_answered();
 }
 
+void control::take(const daemon_name& from, const digests_end&, time_point now)
+{
+    detector_.no_longer_chosen_by(from, now);
+}
+
 void control::take(const daemon_name& from, const member_buckets& m, time_point)
 {
     const std::vector<std::uint64_t> own = membership_.bucket_hashes();
@@ -262,7 +290,12 @@
 
 void control::take(const daemon_name& from, const move_facts& m, time_point)
 {
-    spread(moves_.merge(m.facts_), from);
+    const std::vector<move_fact> news = moves_.merge(m.facts_);
+    // The judges may be gone before the platform can be written.
+    for (const move_fact& f : news)
+        if (watching_)
+            actions_.push_back(store_move{f});
+    spread(news, from);
 }
 
 void control::take(const daemon_name&, const evidence_report& m, time_point)
@@ -282,6 +315,7 @@
     if (!outcome.adopted_)
         return;
     moves_.set_configuration(*distribution_.configuration());
+    returns_.set_configuration(*distribution_.configuration(), last_tick_);
     configuration_stale_ = true;
     if (const auto change = distribution_.last_change())
         tell_neighbours(*change, from);
@@ -345,13 +379,33 @@
 void control::publish(time_point now)
 {
     const configuration_ptr shown = readiness_.ready() ? distribution_.configuration() : nullptr;
-    view_ = std::make_shared<const view>(view{shown, membership_.members(), moves_.facts()});
+    view_ = std::make_shared<const view>(
+        view{shown, membership_.members(), effective_moves(), returns_.returning(now)});
     view_stale_ = false;
     configuration_stale_ = shown != distribution_.configuration();
     last_flush_ = now;
     actions_.push_back(publish_view{view_});
 }
 
+void control::judge_moves()
+{
+    const configuration_ptr& c = distribution_.configuration();
+    if (!c)
+        return;
+    const std::vector<move_fact> changed = moves_.tick(*c, view_->members_, self().name_, wall_);
+    for (const move_fact& f : changed)
+        actions_.push_back(store_move{f});
+    spread(changed, daemon_name());
+    if (view_->moves_ != effective_moves())
+        view_stale_ = true; // a deadline has passed
+}
+
+std::vector<move_fact> control::effective_moves() const
+{
+    const configuration_ptr& c = distribution_.configuration();
+    return c ? moves_.effective_facts(*c, wall_) : std::vector<move_fact>{};
+}
+
 void control::update_watch(time_point now)
 {
     const bool was_ready = readiness_.ready();
--- a/src/decide/gate.cpp
+++ b/src/decide/gate.cpp
@@ -46,6 +46,13 @@
             limit_.value()};
 }
 
+std::vector<evidence> gate::collect_evidence(time_point now)
+{
+    if (!backend_ || !view_ || !view_->configuration_)
+        return {};
+    return evidence_.collect(*view_->configuration_, {backend_->service_, backend_->version_, load()}, now);
+}
+
 void gate::on(const backend_announced& e, time_point now)
 {
     const bool fresh = !backend_ || backend_->version_ != e.version_ || backend_->service_ != e.service_ ||
@@ -84,6 +91,11 @@
                e.message_);
 }
 
+bool gate::out() const
+{
+    return view_ && view_->configuration_ && view_->configuration_->find_out(data_center_);
+}
+
 code gate::admission(const call& c) const
 {
     if (stopping_)
@@ -96,7 +108,7 @@
         return code::not_run;
     if (!view_ || !view_->configuration_)
         return code::starting;
-    if (view_->configuration_->find_out(data_center_))
+    if (out())
         return code::data_center_out;
     const move_rule* move = view_->configuration_->find_move(c.service_);
     const move_fact* fact = move ? view_->find_move(move->id()) : nullptr;
@@ -232,6 +244,7 @@
     limit_.started(last_run_, running_.size());
     held.started_ = now;
     actions_.push_back(start_run{last_run_, held.call_.request_, held.deadline_ - now});
+    evidence_.run_started(last_run_, held.call_, *view_->configuration_, now);
     running_.emplace(last_run_, std::move(held));
 }
 
@@ -250,6 +263,7 @@
         if (held->call_.once_)
             return;
         actions_.push_back(abort_run{running->first});
+        evidence_.run_cancelled(running->first, now);
         limit_.ended(running->first);
         return end_run(running, 0, now);
     }
@@ -278,6 +292,7 @@
     const auto at = running_.find(e.run_);
     if (at == running_.end())
         return;
+    evidence_.run_answered(e.run_, e.response_.status_, e.complete_, now);
     held_call& held = at->second;
     const bool shed = e.response_.status_ == status_shed;
     if (shed)
@@ -300,6 +315,8 @@
     const auto at = running_.find(e.run_);
     if (at == running_.end())
         return;
+    if (e.complete_)
+        evidence_.run_completed(e.run_, now);
     answer_all(at->second, [&](call_id id) { return answer_part{id, e.bytes_, e.complete_}; });
     if (e.complete_)
         end_run(at, at->second.status_, now);
@@ -310,6 +327,7 @@
     const auto at = running_.find(e.run_);
     if (at == running_.end())
         return;
+    evidence_.run_dropped(e.run_);
     const held_call held = std::move(at->second);
     running_.erase(at);
     limit_.cold_start(now);
@@ -322,6 +340,7 @@
     const auto at = running_.find(e.run_);
     if (at == running_.end())
         return;
+    evidence_.run_broken(e.run_, now);
     if (now >= at->second.deadline_)
         limit_.timed_out(e.run_, at->second.started_, now);
     else
@@ -342,9 +361,12 @@
     start_waiting(now);
 }
 
-void gate::on(const gate_view_changed& e, time_point)
+void gate::on(const gate_view_changed& e, time_point now)
 {
+    const bool was_out = out();
     view_ = e.view_;
+    if (was_out && !out())
+        limit_.cold_start(now); // what was warm there has cooled down
     const configuration_ptr& c = view_->configuration_;
     if (c && c->number_.value() == first_configuration && c->written_at_ > started_.value())
         registry_.set_complete();
--- a/src/decide/gate.h
+++ b/src/decide/gate.h
@@ -14,6 +14,7 @@
 #include "decide/call_memory.h"
 #include "decide/call_queue.h"
 #include "decide/concurrency_limit.h"
+#include "decide/evidence_book.h"
 #include "decide/key_home.h"
 #include "decide/view.h"
 
@@ -122,6 +123,8 @@
     // True while calls run or wait here.
     bool busy() const;
     load_report load() const;
+    // What its runs show of versions under a move.
+    std::vector<evidence> collect_evidence(time_point now);
     // True if new work is taken, as far as this daemon itself is concerned.
     bool serving() const;
 
@@ -163,6 +166,8 @@
     // True if a request with the same identity is known, and has been dealt with.
     bool take_repeat(const call_key& key, const call& c, time_point now);
 
+    // True while operators have taken this data centre out.
+    bool out() const;
     // The reason why a call is not admitted; code::ok if it is.
     code admission(const call& c) const;
     held_call make_held(const call_key& key, const call& c, time_point now) const;
@@ -212,6 +217,7 @@
     std::vector<unnoted_outcome> unnoted_;
     call_memory calls_;
     key_memory keys_;
+    evidence_book evidence_;
     key_registry registry_;
     gate_actions actions_;
 };
--- a/src/main/bench/footprint.cpp
+++ b/src/main/bench/footprint.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::uint64_t idle_seconds = 10;
+constexpr std::chrono::seconds settle_time{5};
 constexpr std::uint64_t changes = 5;
 constexpr std::chrono::milliseconds change_interval{1000};
 constexpr double changes_per_day = 590;
@@ -38,7 +39,7 @@
     std::uint64_t mark = 1;
     mesh.apply(fleet_rules(mark), "bench");
     const bool known = seconds_until_in_force(mesh, mark) && wait_all_known(mesh);
-    std::this_thread::sleep_for(std::chrono::seconds(3)); // for the start's news to be spread
+    std::this_thread::sleep_for(settle_time); // for the start's news to be spread
 
     const runtime_clock clock;
     const time_point began = clock.now();
--- a/src/peer/mesh.cpp
+++ b/src/peer/mesh.cpp
@@ -37,8 +37,7 @@
 
 bool is_call(const message& m)
 {
-    return std::holds_alternative<decide::entry_to_gate>(m) ||
-           std::holds_alternative<decide::gate_to_entry>(m);
+    return !std::holds_alternative<hello>(m) && !std::holds_alternative<decide::control_message>(m);
 }
 
 } // namespace
--- a/src/platform/move_store.h
+++ b/src/platform/move_store.h
@@ -21,9 +21,11 @@
                std::function<void(decide::control_event)> tell);
 
     void write(const decide::move_fact& fact);
+    // Tells the facts of each service, none included; tried until it succeeds.
     void read(const std::set<service_name>& services);
 
 private:
+    void read_all();
     void write_next();
     void join(const decide::move_fact& fact, const result<object>& found);
     void settled(const decide::move_fact& fact, bool done);
@@ -35,8 +37,10 @@
     std::function<void(decide::control_event)> tell_;
     backoff backoff_;
     timer next_;
+    timer read_again_;
+    std::set<service_name> unread_;
     bool writing_ = false;
-    std::map<service_name, decide::move_fact> unwritten_;
+    std::map<move_id, decide::move_fact> unwritten_;
 };
 
 } // namespace guavahaven::platform
--- a/tests/support/mesh.h
+++ b/tests/support/mesh.h
@@ -50,6 +50,16 @@
     std::size_t settings_seeds_ = 0; // so many nodes, the first ones, are seeds in every daemon's settings
 };
 
+// A line of a backend server's journal.
+struct journal_entry {
+    std::uint64_t at_ = 0; // microseconds since 1970
+    std::string event_;
+    std::string version_;
+    std::string identity_;
+    std::string method_;
+    std::string path_;
+};
+
 class node {
 public:
     http::address callers() const { return {"127.0.0.1", caller_port_}; }
@@ -67,6 +77,8 @@
     result<operators::daemon_status> status() const;
     // Value of a metric by its whole name with labels; 0 if absent.
     double metric(const std::string& name) const;
+    // What the backend server has noted so far.
+    std::vector<journal_entry> journal() const;
     // Sets faults of the backend server, such as "fail=100".
     void set_backend(const std::string& query) const;
 
@@ -85,16 +97,6 @@
     std::uint16_t backend_server_port_ = 0;
 };
 
-// A line of a backend server's journal.
-struct journal_entry {
-    std::uint64_t at_ = 0; // microseconds since 1970
-    std::string event_;
-    std::string version_;
-    std::string identity_;
-    std::string method_;
-    std::string path_;
-};
-
 // A command of an operator that is still running.
 class operator_run {
 public:
