--- a/tests/prove/requests.cpp
+++ b/tests/prove/requests.cpp
@@ -11,7 +11,6 @@
 using support::request_kind;
 using support::sent_request;
 
-constexpr std::size_t pairs_short = 2;
 const request_kind confirm{"confirm", "POST", "/placements", ""};
 const request_kind lookup{"lookup", "GET", "/shifts/", ""};
 
@@ -27,7 +26,7 @@
     support::load_plan plan = callers(mesh, {confirm});
     plan.repeats_ = 2;
     plan.at_once_ = 5;
-    const std::vector<sent_request> sent = under_faults(mesh, plan, path_faults(), pairs_short, s, o);
+    const std::vector<sent_request> sent = under_faults(mesh, plan, path_faults(), s, o);
     need_answers(sent, o);
     std::size_t twice = 0;
     for (const auto& [identity, runs] : runs_by_identity(mesh))
@@ -45,13 +44,12 @@
     // Runs last long enough for faults to fall into them.
     for (const support::node& n : mesh.nodes())
         n.set_backend("slow_ms=20");
-    const std::vector<sent_request> sent =
-        under_faults(mesh, callers(mesh, {confirm}), path_faults(), pairs_short, s, o);
+    const std::vector<sent_request> sent = under_faults(mesh, callers(mesh, {confirm}), path_faults(), s, o);
     need_answers(sent, o);
     const auto runs = runs_by_identity(mesh);
     const auto untrue = [&](const sent_request& r) { return says_not_run(r) && runs.contains(r.key_); };
     const auto again = [&](const sent_request& r) {
-        const auto at = runs.find(r.key_);
+        const auto at = runs.find(r.target_);
         return at != runs.end() && at->second > 1; // a daemon was told 'not run', and sent it elsewhere
     };
     const auto lost = [&](const sent_request& r) { return r.status_ == 200 && !runs.contains(r.key_); };
@@ -78,7 +76,7 @@
     const request_kind large{"lookup", "GET", "/shifts/", query};
     const request_kind quick{"quick", "GET", "/quick/", query};
     const std::vector<sent_request> sent =
-        under_faults(mesh, callers(mesh, {large, quick, quick}), path_faults(), pairs_short, s, o);
+        under_faults(mesh, callers(mesh, {large, quick, quick}), path_faults(), s, o);
     need_answers(sent, o);
     const auto expected = [](const sent_request& r) {
         std::string body;
--- a/tests/prove/story.cpp
+++ b/tests/prove/story.cpp
@@ -51,16 +51,15 @@
 }
 
 std::vector<support::sent_request> under_faults(support::mesh& mesh, const support::load_plan& plan,
-                                                const std::vector<fault_kind>& kinds, std::size_t pairs,
-                                                const setup& s, outcome& o)
+                                                const std::vector<fault_kind>& kinds, const setup& s,
+                                                outcome& o)
 {
     random_engine random(s.seed_);
     support::load load(plan);
     wait_requests(load, requests_around_faults);
-    for (std::size_t i = 0; i < pairs; ++i) {
-        std::vector<placed_fault> pair = draw_pair(random, kinds, mesh.nodes().size());
-        if (i == 0)
-            pair.front().kind_ = fault_kind::drop_answers; // the one that is hardest to tell from a refusal
+    for (const bool drawn : {false, true}) {
+        const std::vector<placed_fault> pair =
+            drawn ? draw_pair(random, kinds, mesh.nodes().size()) : lost_answers();
         for (const placed_fault& f : pair)
             begin(mesh, f);
         std::this_thread::sleep_for(fault_time);
@@ -72,6 +71,20 @@
     return load.stop();
 }
 
+std::vector<placed_fault> lost_answers()
+{
+    return {{fault_kind::drop_answers, 1}, {fault_kind::cut, 0}};
+}
+
+std::map<std::string, std::size_t> runs_by_path(const support::mesh& mesh)
+{
+    std::map<std::string, std::size_t> runs;
+    for (const support::journal_entry& e : mesh.journal())
+        if (e.event_ == "run")
+            ++runs[e.path_];
+    return runs;
+}
+
 std::map<std::string, std::size_t> runs_by_identity(const support::mesh& mesh)
 {
     std::map<std::string, std::size_t> runs;
--- a/tests/prove/story.h
+++ b/tests/prove/story.h
@@ -40,6 +40,7 @@
 route GET  /shifts/*     to board as lookup     # proof
 route GET  /quick/*      to board as quick      # proof
 route POST /placements   to desk  as confirm    # proof
+route POST /orders/*     to desk  as confirm    # proof
 route GET  /placements/* to desk  as lookup     # proof
 )";
 
@@ -53,13 +54,19 @@
 // Lets at least this many further requests end, or a while pass.
 void wait_requests(const support::load& load, std::size_t count);
 
-// Sends requests while pairs of faults come and go; all that was sent.
+// The faults that make a refusal hardest to tell from a lost answer: what the
+// desk of leon answers is dropped, and the connections that it opened are cut.
+std::vector<placed_fault> lost_answers();
+
+// Sends requests while pairs of faults come and go, a given one and then drawn
+// ones; all that was sent.
 std::vector<support::sent_request> under_faults(support::mesh& mesh, const support::load_plan& plan,
-                                                const std::vector<fault_kind>& kinds, std::size_t pairs,
-                                                const setup& s, outcome& o);
+                                                const std::vector<fault_kind>& kinds, const setup& s,
+                                                outcome& o);
 
-// Number of runs of each identity.
+// Number of runs of each identity, and of each path.
 std::map<std::string, std::size_t> runs_by_identity(const support::mesh& mesh);
+std::map<std::string, std::size_t> runs_by_path(const support::mesh& mesh);
 
 // Runs that began at a node so far.
 std::size_t runs_at(const support::node& n);
--- a/tests/support/load.cpp
+++ b/tests/support/load.cpp
@@ -62,7 +62,9 @@
         const std::string target = kind.query_.empty() ? path : path + "?" + kind.query_;
         for (std::size_t copy = 0; copy < plan_.repeats_; ++copy) {
             batch.push_back({key, kind.class_, kind.method_, target, 0, code::peer_unreachable, "", ""});
-            requests.push_back({kind.method_, target, {{"Idempotency-Key", key}}, ""});
+            requests.push_back({kind.method_, target, {}, ""});
+            if (plan_.keyed_)
+                requests.back().headers_.push_back({"Idempotency-Key", key});
         }
     }
     // The entry at which each request enters moves on by one from batch to batch.
--- a/tests/support/load.h
+++ b/tests/support/load.h
@@ -39,6 +39,7 @@
     std::size_t at_once_ = 8;
     std::chrono::milliseconds pause_{10}; // between batches
     std::string name_ = "load";           // start of the keys
+    bool keyed_ = true;                   // sends the key along
     std::size_t repeats_ = 1;             // times that each request is sent, under one key
     duration timeout_ = std::chrono::seconds(8);
 };
--- a/tests/support/mesh.cpp
+++ b/tests/support/mesh.cpp
@@ -234,19 +234,6 @@
           {"POST", "/set?port=" + std::to_string(n.advertised_port()) + "&" + query, {}, ""});
 }
 
-std::vector<journal_entry> node::journal() const
-{
-    std::vector<journal_entry> all;
-    std::ifstream in(journal_path());
-    for (std::string line; std::getline(in, line);) {
-        std::istringstream fields(line);
-        journal_entry e;
-        if (fields >> e.at_ >> e.event_ >> e.version_ >> e.identity_ >> e.method_ >> e.path_)
-            all.push_back(e);
-    }
-    return all;
-}
-
 std::vector<journal_entry> mesh::journal() const
 {
     std::vector<journal_entry> all;
--- a/tests/support/mesh.h
+++ b/tests/support/mesh.h
@@ -59,16 +59,6 @@
     std::string path_;
 };
 
-// A line of a backend server's journal.
-struct journal_entry {
-    std::uint64_t at_ = 0; // microseconds since 1970
-    std::string event_;
-    std::string version_;
-    std::string identity_;
-    std::string method_;
-    std::string path_;
-};
-
 class node {
 public:
     http::address callers() const { return {"127.0.0.1", caller_port_}; }
@@ -90,7 +80,6 @@
     std::vector<journal_entry> journal() const;
     // Sets faults of the backend server, such as "fail=100".
     void set_backend(const std::string& query) const;
-    std::vector<journal_entry> journal() const;
 
     std::optional<process> daemon_;
     std::optional<process> backend_;
