The fault-injecting proxy keeps the order of delayed bytes; whole answers proved by late ones

A connection's bytes now wait in one queue.

The proof lets answers come after their deadline, while others wait.

No functional change

--- a/tests/fakes/fault_proxy.cpp
+++ b/tests/fakes/fault_proxy.cpp
@@ -19,6 +19,7 @@
 #include <netinet/tcp.h>
 
 #include <cstring>
+#include <deque>
 #include <iostream>
 #include <list>
 #include <map>
@@ -48,6 +49,13 @@
 
 struct route;
 
+// Bytes on their way; those of a connection keep their order whatever its delay.
+struct delayed_bytes {
+    bufferevent* to_ = nullptr;
+    time_point due_;
+    std::string bytes_;
+};
+
 // One connection through the proxy.
 struct passage {
     route* route_ = nullptr;
@@ -58,7 +66,8 @@
     bool source_known_ = false;
     bool silenced_ = false;
     bool greeted_ = false; // the target's first bytes have come
-    std::list<std::unique_ptr<timer>> delayed_;
+    std::deque<delayed_bytes> delayed_;
+    std::unique_ptr<timer> timer_;
 };
 
 struct route {
@@ -185,16 +194,30 @@
     {
         if (p.silenced_)
             return;
-        if (p.route_->delay_ == duration::zero()) {
+        if (p.route_->delay_ == duration::zero() && p.delayed_.empty()) {
             bufferevent_write(to, bytes.data(), bytes.size());
             return;
         }
-        // Timers of one delay fire in the order in which they were armed.
-        p.delayed_.push_back(std::make_unique<timer>(loop_, [&p, to, bytes] {
+        const time_point earliest = p.delayed_.empty() ? time_point() : p.delayed_.back().due_;
+        p.delayed_.push_back({to, std::max(earliest, clock_.now() + p.route_->delay_), bytes});
+        if (!p.timer_)
+            p.timer_ = std::make_unique<timer>(loop_, [this, &p] { release(p); });
+        if (p.delayed_.size() == 1)
+            p.timer_->arm(p.route_->delay_);
+    }
+
+    // Sends on what is due.
+    void release(passage& p)
+    {
+        const time_point now = clock_.now();
+        while (!p.delayed_.empty() && p.delayed_.front().due_ <= now) {
+            const delayed_bytes& d = p.delayed_.front();
             if (!p.silenced_)
-                bufferevent_write(to, bytes.data(), bytes.size());
-        }));
-        p.delayed_.back()->arm(p.route_->delay_);
+                bufferevent_write(d.to_, d.bytes_.data(), d.bytes_.size());
+            p.delayed_.pop_front();
+        }
+        if (!p.delayed_.empty())
+            p.timer_->arm(std::max(p.delayed_.front().due_ - now, duration(1)));
     }
 
     static void closed(bufferevent*, short what, void* at)
@@ -248,6 +271,7 @@
     static inline fault_proxy* running = nullptr;
 
     event_loop& loop_;
+    runtime_clock clock_;
     http::server control_;
     std::map<std::uint16_t, route> routes_;
     std::list<accepting> accepting_;
--- a/tests/prove/requests.cpp
+++ b/tests/prove/requests.cpp
@@ -74,15 +74,16 @@
     // Answers to quick requests come after their deadline, as they are long on
     // the way, while other requests wait for theirs.
     for (const support::node& n : mesh.nodes()) {
-        n.set_backend("slow_ms=35");
+        n.set_backend("slow_ms=50");
         mesh.set_fault(n, "mode=pass&delay_ms=20");
     }
     constexpr std::size_t body_bytes = 20'000;
     const std::string query = "bytes=" + std::to_string(body_bytes);
     const request_kind large{"lookup", "GET", "/shifts/", query};
     const request_kind quick{"quick", "GET", "/quick/", query};
-    const std::vector<sent_request> sent =
-        under_faults(mesh, callers(mesh, {large, quick, quick}), path_faults(), s, o);
+    support::load_plan plan = callers(mesh, {large, quick, quick});
+    plan.at_once_ = 12;
+    const std::vector<sent_request> sent = under_faults(mesh, plan, path_faults(), s, o);
     need_answers(sent, o);
     const auto expected = [](const sent_request& r) {
         std::string body;
@@ -93,6 +94,10 @@
     const auto wrong = [&](const sent_request& r) {
         return r.status_ == 200 && (r.echo_ != r.target_ || r.body_ != expected(r));
     };
+    const auto first = std::find_if(sent.begin(), sent.end(), wrong);
+    if (first != sent.end())
+        o.broken_.push_back("asked " + first->target_ + ", got that of '" + first->echo_ + "', " +
+                            std::to_string(first->body_.size()) + " bytes");
     add_broken(o, static_cast<std::size_t>(std::count_if(sent.begin(), sent.end(), wrong)),
                "answers were cut short or belong to another request");
     return o;
