--- a/src/backend/door.cpp
+++ b/src/backend/door.cpp
@@ -136,6 +136,10 @@
         out_.announced_({});
     }
     handle(decide::gate_tick{});
+    const decide::load_report load = gate_.load();
+    metrics_.set_gauge("guavahaven_gate_limit", load.limit_);
+    metrics_.set_gauge("guavahaven_gate_running", load.in_flight_);
+    metrics_.set_gauge("guavahaven_gate_waiting", load.queued_);
     std::erase_if(former_, [](const auto& client) { return client->in_flight() == 0; });
     timer_.arm(tick_interval);
 }
