--- a/src/decide/gate.cpp
+++ b/src/decide/gate.cpp
@@ -13,11 +13,6 @@
 constexpr std::size_t waiters_most = 8; // attempts that share the answer of one run
 constexpr std::uint64_t first_configuration = 1;
 
-std::uint64_t fingerprint(const http::request& r)
-{
-    return hash(r.body_, hash(r.target_, hash(r.method_)));
-}
-
 } // namespace
 
 gate::gate(daemon_name self, incarnation started, data_center_name data_center, time_point now)
@@ -62,6 +57,7 @@
     if (fresh)
         limit_.cold_start(now);
     backend_ = e;
+    backend_start_ = e.start_;
     if (!e.draining_)
         return;
     for (const held_call& held : waiting_.take_all())
@@ -131,6 +127,9 @@
     if (guarded(guard::once_memory) && take_repeat(key, c, now))
         return;
 
+    if (const code why = suspicion(c); why != code::ok)
+        return refuse(key, why, now);
+
     held_call held = make_held(key, c, now);
     if (too_late(held, now))
         return refuse(key, code::overloaded, now);
@@ -234,6 +233,8 @@
             refuse(next, code::deadline_exceeded, now);
         else if (const code why = admission(next.call_); why != code::ok)
             refuse(next, why, now);
+        else if (const code suspect = suspicion(next.call_); suspect != code::ok)
+            refuse(next, suspect, now);
         else
             start(std::move(next), now);
     }
@@ -300,6 +301,8 @@
         limit_.shed(e.run_, held.started_, now);
     else
         limit_.answered(e.run_, held.call_.route_, now - held.started_, now);
+    if (!shed)
+        suspects_.answered(fingerprint(held.call_.request_), now);
     // What may be repeated is better sent elsewhere than told that this server is busy.
     if (shed && e.complete_ && !held.call_.once_)
         answer_all(held, [&](call_id id) { return broken{id, code::backend_failed, load()}; });
@@ -341,11 +344,18 @@
     const auto at = running_.find(e.run_);
     if (at == running_.end())
         return;
-    evidence_.run_broken(e.run_, now);
-    if (now >= at->second.deadline_)
-        limit_.timed_out(e.run_, at->second.started_, now);
+    // What is suspected of deaths elsewhere says nothing against this version.
+    if (suspects_.suspected(fingerprint(at->second.call_.request_)))
+        evidence_.run_dropped(e.run_);
     else
+        evidence_.run_broken(e.run_, now);
+    if (now >= at->second.deadline_) {
+        limit_.timed_out(e.run_, at->second.started_, now);
+    }
+    else {
         limit_.cold_start(now); // it has died, and comes back cold
+        note_crash(at->second, now);
+    }
     answer_all(at->second, [&](call_id id) { return broken{id, code::outcome_unknown, load()}; });
     end_run(at, 0, now);
 }
@@ -383,6 +393,7 @@
     calls_.forget(now);
     keys_.forget(now);
     registry_.forget(now);
+    suspects_.forget(now);
 }
 
 std::map<run_id, held_call>::iterator gate::find_running(const call_key& key)
--- a/src/decide/gate.h
+++ b/src/decide/gate.h
@@ -181,11 +181,16 @@
     void take(const daemon_name& from, const key_verdict& m, time_point now);
     void take(const daemon_name& from, const key_outcome& m, time_point now);
     void take(const daemon_name& from, const key_noted& m, time_point now);
+    void take(const daemon_name& from, const crash_report& m, time_point now);
     void give_up_claim(const call_key& key, code why, int earlier_status, time_point now);
     void tend_claims(time_point now);
     void tell_homes(const held_call& held, bool ran, int status, time_point now);
     void tell_homes_again(time_point now);
 
+    // A backend server died, or cut the connection, while this call ran there.
+    void note_crash(const held_call& held, time_point now);
+    code suspicion(const call& c) const;
+
     void enqueue(held_call held, time_point now);
     bool too_late(const held_call& held, time_point now) const;
     void start(held_call held, time_point now);
@@ -219,6 +224,8 @@
     key_memory keys_;
     evidence_book evidence_;
     key_registry registry_;
+    suspects suspects_;
+    std::uint64_t backend_start_ = 0; // of the backend server announced last
     gate_actions actions_;
 };
 
--- a/src/decide/key_home.h
+++ b/src/decide/key_home.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "decide/key_memory.h"
+#include "decide/suspects.h"
 #include "decide/view.h"
 
 namespace guavahaven::decide {
@@ -49,7 +50,7 @@
     friend bool operator==(const key_noted&, const key_noted&) = default;
 };
 
-using gate_to_gate = std::variant<key_claim, key_verdict, key_outcome, key_noted>;
+using gate_to_gate = std::variant<key_claim, key_verdict, key_outcome, key_noted, crash_report>;
 
 // Homes that have to grant a key, of so many.
 std::size_t grants_needed(std::size_t homes);
--- a/src/peer/layouts.h
+++ b/src/peer/layouts.h
@@ -62,6 +62,8 @@
 GUAVAHAVEN_LAYOUT(decide::key_verdict, &decide::key_verdict::identity_, &decide::key_verdict::attempt_,
                   &decide::key_verdict::granted_, &decide::key_verdict::recent_, &decide::key_verdict::ended_,
                   &decide::key_verdict::status_);
+GUAVAHAVEN_LAYOUT(decide::crash_report, &decide::crash_report::fingerprint_, &decide::crash_report::gate_,
+                  &decide::crash_report::death_);
 GUAVAHAVEN_LAYOUT(decide::key_noted, &decide::key_noted::identity_, &decide::key_noted::attempt_);
 GUAVAHAVEN_LAYOUT(decide::key_outcome, &decide::key_outcome::identity_, &decide::key_outcome::attempt_,
                   &decide::key_outcome::ran_, &decide::key_outcome::status_);
