--- a/src/decide/concurrency_limit.cpp
+++ b/src/decide/concurrency_limit.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "base/guards.h"
+
 namespace guavahaven::decide {
 
 namespace {
@@ -39,7 +41,7 @@
 
 bool concurrency_limit::admits(std::size_t running, time_point now) const
 {
-    if (running < limit_)
+    if (running < limit_ || !guarded(guard::cold_limit))
         return true;
     return running == limit_ && limit_ < most_ && probe_ == run_id() && now >= next_probe_;
 }
