--- a/tests/support/mesh.h
+++ b/tests/support/mesh.h
@@ -45,11 +45,11 @@
 
 struct mesh_plan {
     std::vector<node_plan> nodes_;
-    bool fault_proxy_ = false;       // before every peer port
+    bool fault_proxy_ = false; // before every peer port
+    std::string daemon_binary_ = "guavahaven-daemon";
+    std::string more_settings_{};    // appended to every daemon's settings file
     bool platform_proxy_ = false;    // a fault-injecting link from each data centre to the platform
     std::size_t settings_seeds_ = 0; // so many nodes, the first ones, are seeds in every daemon's settings
-    std::string daemon_binary_ = "guavahaven-daemon";
-    std::string more_settings_{}; // appended to every daemon's settings file
 };
 
 // A line of a backend server's journal.
