--- a/src/base/guards.cpp
+++ b/src/base/guards.cpp
@@ -13,6 +13,7 @@
 constexpr std::array names{
     std::pair{guard::once_memory, std::string_view("once_memory")},
     std::pair{guard::unknown_outcome, std::string_view("unknown_outcome")},
+    std::pair{guard::fence, std::string_view("fence")},
     std::pair{guard::out_refusal, std::string_view("out_refusal")},
     std::pair{guard::drain_refusal, std::string_view("drain_refusal")},
     std::pair{guard::cold_limit, std::string_view("cold_limit")},
--- a/src/base/guards.h
+++ b/src/base/guards.h
@@ -12,6 +12,7 @@
 enum class guard {
     once_memory,         // a gate remembers what must not run twice
     unknown_outcome,     // a broken call that must run once is not called 'not run'
+    fence,               // the fate of a call is asked when its connection fell silent
     out_refusal,         // a data centre that is out takes nothing
     drain_refusal,       // a leaving backend server takes nothing
     cold_limit,          // a started backend server gets few calls at once
--- a/src/decide/entry.cpp
+++ b/src/decide/entry.cpp
@@ -312,6 +312,8 @@
 
 void entry::ask_fate(request_state& r, time_point now)
 {
+    if (!guarded(guard::fence))
+        return settle_broken(r, now, code::outcome_unknown);
     r.fenced_ = true;
     r.sent_ = now;
     actions_.push_back(send_to_gate{r.gate_, fence{r.call_.id_, r.call_.gate_}, true});
