--- a/src/decide/control.h
+++ b/src/decide/control.h
@@ -129,6 +129,7 @@
     void take(const daemon_name& from, const announcements& m, time_point now);
     void take(const daemon_name& from, const digest& m, time_point now);
     void take(const daemon_name& from, const digest_received& m, time_point now);
+    void take(const daemon_name& from, const digests_end& m, time_point now);
     void take(const daemon_name& from, const member_buckets& m, time_point now);
     void take(const daemon_name& from, const members_wanted& m, time_point now);
     void take(const daemon_name& from, const probe& m, time_point now);
@@ -169,6 +170,7 @@
     return_tracker returns_;
     random_engine random_;
     std::vector<daemon_name> seeds_;
+    std::vector<daemon_name> digested_; // the neighbours at the last digests
     view_ptr view_;
     std::map<daemon_name, heard_news> news_; // not yet passed on
     bool view_stale_ = false;
@@ -178,6 +180,8 @@
     time_point last_tick_;
     time_point last_flush_{};
     time_point last_digest_{};
+    time_point last_repair_{};
+    time_point last_sweep_{};
     time_point last_judged_{};
     time_point last_seed_check_{};
     wall_time wall_{};
--- a/src/decide/failure_detector.h
+++ b/src/decide/failure_detector.h
@@ -25,6 +25,7 @@
     // A daemon that counts this one among its neighbours: it is watched while
     // it says so, so that each daemon is watched by several.
     void chosen_by(const daemon_name& name, time_point now);
+    void no_longer_chosen_by(const daemon_name& name, time_point now);
     // A daemon to be probed at once.
     void doubt(const daemon_name& name, time_point now);
 
--- a/src/peer/layouts.h
+++ b/src/peer/layouts.h
@@ -76,6 +76,7 @@
 GUAVAHAVEN_LAYOUT(decide::digest, &decide::digest::members_, &decide::digest::moves_,
                   &decide::digest::configuration_, &decide::digest::configuration_hash_);
 GUAVAHAVEN_LAYOUT(decide::digest_received);
+GUAVAHAVEN_LAYOUT(decide::digests_end);
 GUAVAHAVEN_LAYOUT(decide::member_buckets, &decide::member_buckets::hashes_);
 GUAVAHAVEN_LAYOUT(decide::members_wanted, &decide::members_wanted::buckets_);
 GUAVAHAVEN_LAYOUT(decide::probe, &decide::probe::held_, &decide::probe::for_);
