guavahaven report: one page with plots of moves and of the service of each class

Each daemon keeps half an hour of samples, one in 5 s, of the requests that entered there by class and of the moves, served as /samples on its operator port. The page is one file of HTML with plots in SVG; it has not been looked at in a browser. E119 if it can't be written.

--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -71,6 +71,12 @@
     return counters_[name][labels];
 }
 
+std::map<std::string, std::uint64_t> metrics::counters(const std::string& name) const
+{
+    const auto at = counters_.find(name);
+    return at == counters_.end() ? std::map<std::string, std::uint64_t>{} : at->second;
+}
+
 void metrics::set_gauge(const std::string& name, double value, const std::string& labels)
 {
     gauges_[name][labels] = value;
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -53,6 +53,8 @@
 class metrics {
 public:
     std::uint64_t& counter(const std::string& name, const std::string& labels = "");
+    // All counters of a name, by their labels.
+    std::map<std::string, std::uint64_t> counters(const std::string& name) const;
     void set_gauge(const std::string& name, double value, const std::string& labels = "");
     histogram& timing(const std::string& name, const std::string& labels = "");
 
--- a/src/base/result.cpp
+++ b/src/base/result.cpp
@@ -29,6 +29,7 @@
     entry{code::rules_bad_value, "rules_bad_value", "write a value of the kind that the message names"},
     entry{code::rules_too_large, "rules_too_large", "shorten the file"},
     entry{code::rules_unreadable, "rules_unreadable", "check the path and permissions of the rules file"},
+    entry{code::report_unwritable, "report_unwritable", "check the folder and the space left there"},
     entry{code::platform_unreachable, "platform_unreachable", "wait for the platform or check its address"},
     entry{code::platform_conflict, "platform_conflict", "read the other change, merge it, apply again"},
     entry{code::platform_malformed, "platform_malformed", "apply a good rules file with --daemon to replace the object"},
--- a/src/base/result.h
+++ b/src/base/result.h
@@ -29,6 +29,7 @@
     rules_bad_value = 116,
     rules_too_large = 117,
     rules_unreadable = 118,
+    report_unwritable = 119,
 
     platform_unreachable = 200,
     platform_conflict = 201,
--- a/src/main/daemon.cpp
+++ b/src/main/daemon.cpp
@@ -13,6 +13,7 @@
 #include "caller/door.h"
 #include "operator/daemon_settings.h"
 #include "operator/rules.h"
+#include "operator/samples.h"
 #include "operator/status.h"
 #include "peer/mesh.h"
 #include "platform/watcher.h"
@@ -231,18 +232,22 @@
         const std::string path = http::path_of(e.received().target_);
         if (path == "/metrics")
             return e.reply({200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_.exposition()});
+        if (path == "/samples")
+            return e.reply(
+                {200, {{"Content-Type", "application/json"}}, operators::to_json(samples_.samples())});
         if (path == "/status")
             return e.reply({200,
                             {{"Content-Type", "application/json"}},
                             to_json(operators::make_status(control_, backend_.state(), backend_.last_run(),
                                                            problems_))});
-        e.reply({404, {}, "known are /metrics and /status\n"});
+        e.reply({404, {}, "known are /metrics, /status and /samples\n"});
     }
 
     void tick()
     {
         publish_evidence();
         apply(control_.handle(decide::control_tick{clock_.wall()}, clock_.now()));
+        samples_.tick(control_, metrics_, clock_.wall());
         // Ticks fall on the turn of the second, at which all gates cut their evidence.
         control_timer_.arm(control_interval - clock_.wall().time_since_epoch() % control_interval);
     }
@@ -297,6 +302,7 @@
     timer stop_timer_;
     configuration_number number_;
     std::uint64_t evidence_second_ = 0;
+    operators::sample_ring samples_;
     std::vector<std::string> problems_;
     std::optional<time_point> stop_began_;
 };
--- a/src/main/guavahaven.cpp
+++ b/src/main/guavahaven.cpp
@@ -14,6 +14,7 @@
 #include "operator/explain.h"
 #include "operator/mesh_report.h"
 #include "operator/publisher.h"
+#include "operator/report.h"
 #include "operator/rules.h"
 #include "operator/status.h"
 #include "operator/text_diff.h"
@@ -32,6 +33,7 @@
   guavahaven diff FILE --platform=ADDRESS [--json]
   guavahaven apply FILE --platform=ADDRESS [--daemon=ADDRESS] [--base=N] [--author=NAME] [--json]
   guavahaven status --daemon=ADDRESS [--watch] [--json]
+  guavahaven report FILE --daemon=ADDRESS
   guavahaven explain METHOD PATH (--file=FILE | --platform=ADDRESS) [--header=NAME:VALUE]
   guavahaven history --platform=ADDRESS [--count=N] [--json]
   guavahaven (-h | --help)
@@ -42,6 +44,7 @@
   diff     Shows what a rules file would change.
   apply    Puts a rules file in force on every daemon.
   status   Tells which daemons have the configuration, and how moves stand.
+  report   Writes a page with plots of moves and of the service of each class.
   explain  Tells which rules decide for a request, and who asked for them.
   history  Lists the last configurations: number, time, author.
 
@@ -419,6 +422,36 @@
     return status_once(args, value(at));
 }
 
+int write_report(const arguments& args)
+{
+    const auto at = http::parse_address(args.at("--daemon").asString());
+    if (!ok(at))
+        return report(failure(at), wrong_usage);
+    event_loop loop;
+    const auto first = fetch_status(loop, value(at));
+    if (!ok(first))
+        return report(failure(first), unreachable);
+    const mesh_status all = ask_all(loop, value(first));
+    std::vector<std::vector<operators::sample>> samples;
+    for (const operators::member_report& m : value(first).members_) {
+        const auto operator_port = http::parse_address(m.operator_address_);
+        if (!ok(operator_port))
+            continue;
+        const auto got = fetch(loop, value(operator_port), "/samples");
+        const auto read = ok(got) ? operators::parse_samples(value(got).body_)
+                                  : result<std::vector<operators::sample>>(failure(got));
+        if (ok(read))
+            samples.push_back(value(read));
+    }
+    const auto now = static_cast<std::uint64_t>(runtime_clock().wall().time_since_epoch().count());
+    std::ofstream file(args.at("FILE").asString());
+    file << operators::report_page(all.daemons_, samples, now);
+    file.close();
+    if (!file)
+        return report({code::report_unwritable, args.at("FILE").asString()}, refused);
+    return done;
+}
+
 int explain(const arguments& args)
 {
     http::request request{args.at("METHOD").asString(), args.at("PATH").asString(), {}, ""};
@@ -488,8 +521,9 @@
         const char* name_;
         int (*run_)(const arguments&);
     };
-    constexpr command commands[] = {{"check", check},   {"diff", diff},       {"apply", apply},
-                                    {"status", status}, {"explain", explain}, {"history", history}};
+    constexpr command commands[] = {{"check", check},    {"diff", diff},           {"apply", apply},
+                                    {"status", status},  {"report", write_report}, {"explain", explain},
+                                    {"history", history}};
     for (const command& c : commands)
         if (args.at(c.name_).asBool())
             return c.run_(args);
