Entries grade the return of a data centre

A call that draws so leaves the gates of a returning data centre aside, as long as others serve their version elsewhere. The draw uses chance only while a return is under way, so other decisions are unchanged.

--- a/src/decide/data_center_return.cpp
+++ b/src/decide/data_center_return.cpp
@@ -38,17 +38,28 @@
     return all;
 }
 
-std::set<daemon_name> draw_left_aside(const view& known, random_engine& random, time_point now)
+std::set<daemon_name> draw_left_aside(const view& known, const service_name& service, random_engine& random,
+                                      time_point now)
 {
-    std::set<daemon_name> gates;
+    std::set<data_center_name> aside;
     for (const returning_data_center& r : known.returning_) {
         const double share = return_share(now - r.since_);
-        if (share >= 1 || random_share(random) < share)
-            continue;
-        for (const member& m : known.members_)
-            if (m.data_center_ == r.data_center_)
-                gates.insert(m.name_);
+        if (share < 1 && random_share(random) >= share)
+            aside.insert(r.data_center_);
+    }
+    if (aside.empty())
+        return {};
+    std::set<version_name> elsewhere;
+    for (const member& m : known.members_) {
+        const bool out = known.configuration_ && known.configuration_->find_out(m.data_center_);
+        if (m.service_ == service && m.state_ == member_state::alive && !out &&
+            !aside.contains(m.data_center_))
+            elsewhere.insert(m.version_);
     }
+    std::set<daemon_name> gates;
+    for (const member& m : known.members_)
+        if (m.service_ == service && aside.contains(m.data_center_) && elsewhere.contains(m.version_))
+            gates.insert(m.name_);
     return gates;
 }
 
--- a/src/decide/data_center_return.h
+++ b/src/decide/data_center_return.h
@@ -30,7 +30,9 @@
     std::map<data_center_name, time_point> returned_;
 };
 
-// The gates that one call leaves aside for the sake of a graded return.
-std::set<daemon_name> draw_left_aside(const view& known, random_engine& random, time_point now);
+// The gates of a service that one call leaves aside for the sake of a graded
+// return; only those whose version others serve elsewhere.
+std::set<daemon_name> draw_left_aside(const view& known, const service_name& service, random_engine& random,
+                                      time_point now);
 
 } // namespace guavahaven::decide
--- a/src/decide/entry.cpp
+++ b/src/decide/entry.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 
 #include "base/guards.h"
+#include "decide/data_center_return.h"
 #include "decide/routing.h"
 
 namespace guavahaven::decide {
@@ -107,6 +108,7 @@
     r.call_.depth_ = depth;
     r.call_.request_ = e.request_;
     r.call_.version_ = choose_version(route->service_);
+    r.tried_ = draw_left_aside(*view_, route->service_, random_, now);
     r.call_.identity_ = http::find_header(e.request_.headers_, key_header);
     r.call_.keyed_ = !r.call_.identity_.empty();
     attempt(r, now, code::no_backend_server);
--- a/tests/decide/data_center_return_test.cpp
+++ b/tests/decide/data_center_return_test.cpp
@@ -39,7 +39,7 @@
         known.returning_ = tracker.returning(back + since);
         int left_aside = 0;
         for (int i = 0; i < 1000; ++i) {
-            const std::set<daemon_name> gates = draw_left_aside(known, random, back + since);
+            const std::set<daemon_name> gates = draw_left_aside(known, {}, random, back + since);
             EXPECT_FALSE(gates.contains(daemon_name("b")));
             left_aside += gates.contains(daemon_name("a")) ? 1 : 0;
         }
@@ -51,6 +51,10 @@
     EXPECT_NEAR(share_at(std::chrono::seconds(10)), 0.55, 0.06);
     EXPECT_EQ(share_at(std::chrono::seconds(20)), 1);
 
+    // And it gets all calls that nobody else could serve
+    known.members_[1].version_ = version_name("other");
+    EXPECT_EQ(share_at(std::chrono::seconds(0)), 1);
+
     // And nothing of it is left when it goes out again
     tracker.set_configuration(with_out({"leon"}), back + std::chrono::seconds(5));
     EXPECT_TRUE(tracker.returning(back + std::chrono::seconds(6)).empty());
