--- a/src/decide/gossip.h
+++ b/src/decide/gossip.h
@@ -33,6 +33,11 @@
     friend bool operator==(const digest_received&, const digest_received&) = default;
 };
 
+// The sender has other neighbours now: its digests end, and that is no silence.
+struct digests_end {
+    friend bool operator==(const digests_end&, const digests_end&) = default;
+};
+
 // Hashes of the sender's members by bucket, so that only what differs is sent.
 struct member_buckets {
     std::vector<std::uint64_t> hashes_;
@@ -125,8 +130,8 @@
     friend bool operator==(const evidence_report&, const evidence_report&) = default;
 };
 
-using control_message = std::variant<announcements, digest, digest_received, member_buckets, members_wanted,
-                                     probe, probe_answer, probe_wanted, configuration_wanted,
+using control_message = std::variant<announcements, digest, digest_received, digests_end, member_buckets,
+                                     members_wanted, probe, probe_answer, probe_wanted, configuration_wanted,
                                      configuration_whole, configuration_delta, move_facts, evidence_report>;
 
 // A daemon that others may ask first, as kept in the platform.
