--- a/src/backend/door.cpp
+++ b/src/backend/door.cpp
@@ -84,21 +84,46 @@
 void door::apply(const decide::start_run& a)
 {
     ++metrics_.counter("guavahaven_gate_runs_total");
-    const auto answered = [this, run = a.run_](const result<http::response>& r) {
-        if (!ok(r))
-            return handle(decide::run_broken{run});
-        http::response whole = value(r);
-        whole.headers_ = http::end_to_end(whole.headers_);
-        handle(decide::run_answered{run, std::move(whole), true});
-    };
     if (!backend_)
         return handle(decide::run_not_sent{a.run_});
-    backend_->send(a.request_, a.timeout_, answered);
+    backend_->stream(a.run_.value(), a.request_, a.timeout_,
+                     [this, run = a.run_](http::response_event e) { take_response(run, std::move(e)); });
 }
 
-void door::apply(const decide::abort_run&)
+void door::take_response(decide::run_id run, http::response_event e)
+{
+    std::visit(guavahaven::overloaded{
+                   [&](http::response_start& first) {
+                       http::response& r = first.response_;
+                       const std::string length = http::find_header(r.headers_, "Content-Length");
+                       r.headers_ = http::end_to_end(r.headers_);
+                       if (!first.complete_ && !length.empty())
+                           r.headers_.push_back({"Content-Length", length});
+                       handle(decide::run_answered{run, std::move(r), first.complete_});
+                   },
+                   [&](http::response_part& part) {
+                       handle(decide::run_continued{run, std::move(part.bytes_), part.complete_});
+                   },
+                   [&](const error&) { handle(decide::run_broken{run}); },
+               },
+               e);
+}
+
+void door::apply(const decide::pause_run& a)
+{
+    if (!backend_)
+        return;
+    if (a.paused_)
+        backend_->pause(a.run_.value());
+    else
+        backend_->resume(a.run_.value());
+}
+
+void door::apply(const decide::abort_run& a)
 {
     ++metrics_.counter("guavahaven_gate_cancelled_total");
+    if (backend_)
+        backend_->cancel(a.run_.value());
 }
 
 void door::apply(const decide::send_to_entry& a)
--- a/src/backend/door.h
+++ b/src/backend/door.h
@@ -38,10 +38,12 @@
     const decide::gate& state() const { return gate_; }
 
 private:
+    void take_response(decide::run_id run, http::response_event e);
     void take_announcement(http::exchange& e);
     void apply(decide::gate_actions actions);
     void apply(const decide::start_run& a);
     void apply(const decide::abort_run& a);
+    void apply(const decide::pause_run& a);
     void apply(const decide::send_to_entry& a);
     void tick();
 
--- a/src/base/http.cpp
+++ b/src/base/http.cpp
@@ -84,16 +84,23 @@
         setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
 }
 
-bool same_name(std::string_view a, std::string_view b)
-{
-    return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
-}
-
 struct buffer_deleter {
     void operator()(evbuffer* b) const { evbuffer_free(b); }
 };
 using buffer = std::unique_ptr<evbuffer, buffer_deleter>;
 
+constexpr std::size_t part_least = 64 * 1024;    // bytes of a response that are held to pass on at once
+constexpr std::size_t unread_most = 1024 * 1024; // bytes that a connection reads ahead
+
+// True if the sender said where the response ends, so that one cut short is noticed.
+bool has_known_end(evhttp_request* raw)
+{
+    const int status = evhttp_request_get_response_code(raw);
+    const bool no_body = evhttp_request_get_command(raw) == EVHTTP_REQ_HEAD || status == 204 || status == 304;
+    const evkeyvalq* in = evhttp_request_get_input_headers(raw);
+    return no_body || evhttp_find_header(in, "Content-Length") || evhttp_find_header(in, "Transfer-Encoding");
+}
+
 buffer make_buffer(const std::string& bytes)
 {
     buffer b(evbuffer_new());
@@ -103,6 +110,11 @@
 
 } // namespace
 
+bool same_name(std::string_view a, std::string_view b)
+{
+    return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
+}
+
 std::string find_header(const headers& all, std::string_view name)
 {
     const auto same = [name](const header& h) { return same_name(h.name_, name); };
@@ -172,7 +184,11 @@
 
 exchange::~exchange()
 {
-    if (raw_)
+    if (!raw_)
+        return;
+    if (started_)
+        abort();
+    else
         reply({500, {}, ""});
 }
 
@@ -190,6 +206,7 @@
 {
     auto& e = *static_cast<exchange*>(self);
     e.raw_ = nullptr; // evhttp frees the request along with its connection
+    e.written_ = nullptr;
     if (auto gone = std::exchange(e.gone_, nullptr))
         gone();
 }
@@ -215,16 +232,25 @@
 {
     if (!raw_)
         return;
+    started_ = true;
+    send_at_once(evhttp_request_get_connection(raw_));
     add_headers(evhttp_request_get_output_headers(raw_), all);
     evhttp_send_reply_start(raw_, status, nullptr);
 }
 
-void exchange::more(const std::string& bytes)
+void exchange::more(const std::string& bytes, std::function<void()> written)
 {
     if (!raw_)
         return;
+    written_ = std::move(written);
     const buffer part = make_buffer(bytes);
-    evhttp_send_reply_chunk(raw_, part.get());
+    evhttp_send_reply_chunk_with_cb(raw_, part.get(), &exchange::drained, this);
+}
+
+void exchange::drained(evhttp_connection*, void* self)
+{
+    if (auto written = std::exchange(static_cast<exchange*>(self)->written_, nullptr))
+        written();
 }
 
 void exchange::finish()
@@ -236,14 +262,19 @@
     evhttp_send_reply_end(raw);
 }
 
+// A reset, since a plain close would end an answer of HTTP/1.0 as if it were whole.
 void exchange::abort()
 {
     if (!raw_)
         return;
     evhttp_connection* connection = evhttp_request_get_connection(raw_);
     detach();
-    if (connection)
-        evhttp_connection_free(connection);
+    if (!connection)
+        return;
+    const linger at_once{1, 0};
+    setsockopt(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)), SOL_SOCKET, SO_LINGER,
+               &at_once, sizeof at_once);
+    evhttp_connection_free(connection);
 }
 
 server::server(event_loop& loop, server_limits limits, handler h)
@@ -281,11 +312,32 @@
 struct client::slot {
     client& owner_;
     std::unique_ptr<evhttp_connection, detail::connection_deleter> connection_;
-    response_handler handler_;
+    stream_handler handler_;
+    std::uint64_t ticket_ = 0;
+    bool sent_ = false;    // bytes of the request were given to the system
+    bool started_ = false; // the start of the response was passed on
+    std::string held_;     // read but not passed on
+
+    explicit slot(client& owner) : owner_(owner) {}
+
+    bufferevent* stream() const { return evhttp_connection_get_bufferevent(connection_.get()); }
+
+    // What is held, as the start of the response or a further part.
+    response_event next_event(evhttp_request* raw, bool complete)
+    {
+        std::string bytes = std::exchange(held_, {});
+        if (std::exchange(started_, true))
+            return response_part{std::move(bytes), complete};
+        return response_start{{evhttp_request_get_response_code(raw),
+                               detail::copy_headers(evhttp_request_get_input_headers(raw)), std::move(bytes)},
+                              complete};
+    }
 };
 
-client::client(event_loop& loop, address to, std::size_t most_connections, error unreachable)
-    : loop_(loop), to_(std::move(to)), most_(most_connections), unreachable_(std::move(unreachable))
+client::client(event_loop& loop, address to, std::size_t most_connections, error unreachable,
+               std::optional<error> broken)
+    : loop_(loop), to_(std::move(to)), most_(most_connections), unreachable_(std::move(unreachable)),
+      broken_(broken.value_or(unreachable_))
 {
 }
 
@@ -298,33 +350,101 @@
 }
 
 void client::send(request r, duration timeout, response_handler h)
+{
+    send(0, std::move(r), timeout, std::move(h));
+}
+
+void client::send(std::uint64_t ticket, request r, duration timeout, response_handler h)
+{
+    const auto whole = [h = std::move(h)](response_event e) {
+        if (auto* answered = std::get_if<response_start>(&e))
+            h(std::move(answered->response_));
+        else
+            h(std::get<error>(std::move(e)));
+    };
+    enqueue({ticket, std::move(r), timeout, whole, false});
+}
+
+void client::stream(std::uint64_t ticket, request r, duration timeout, stream_handler h)
+{
+    enqueue({ticket, std::move(r), timeout, std::move(h), true});
+}
+
+void client::enqueue(waiting_request w)
 {
     const auto free = std::find_if(slots_.begin(), slots_.end(), [](const auto& s) { return !s->handler_; });
     if (free != slots_.end())
-        return start(**free, std::move(r), timeout, std::move(h));
+        return start(**free, std::move(w));
     if (slots_.size() >= most_) {
-        waiting_.push_back({std::move(r), timeout, std::move(h)});
+        waiting_.push_back(std::move(w));
         return;
     }
-    slots_.push_back(std::make_unique<slot>(slot{*this, nullptr, nullptr}));
-    slots_.back()->connection_.reset(
-        evhttp_connection_base_new(loop_.base(), nullptr, to_.ip_.c_str(), to_.port_));
-    start(*slots_.back(), std::move(r), timeout, std::move(h));
+    slots_.push_back(std::make_unique<slot>(*this));
+    slot& opened = *slots_.back();
+    opened.connection_.reset(evhttp_connection_base_new(loop_.base(), nullptr, to_.ip_.c_str(), to_.port_));
+    evbuffer* out = bufferevent_get_output(opened.stream());
+    evbuffer_add_cb(out, &client::written, &opened);
+    start(opened, std::move(w));
+}
+
+// A request waits outside this buffer until its connection is open; whatever
+// leaves the buffer may have reached the other end.
+void client::written(evbuffer*, const evbuffer_cb_info* info, void* at)
+{
+    if (info->n_deleted > 0)
+        static_cast<slot*>(at)->sent_ = true;
+}
+
+client::slot* client::find(std::uint64_t ticket)
+{
+    const auto at = std::find_if(slots_.begin(), slots_.end(), [ticket](const auto& s) {
+        return s->handler_ != nullptr && s->ticket_ == ticket;
+    });
+    return at == slots_.end() ? nullptr : at->get();
+}
+
+void client::pause(std::uint64_t ticket)
+{
+    if (const slot* s = find(ticket))
+        bufferevent_disable(s->stream(), EV_READ);
 }
 
-void client::start(slot& at, request r, duration timeout, response_handler h)
+void client::resume(std::uint64_t ticket)
 {
-    at.handler_ = std::move(h);
+    if (const slot* s = find(ticket))
+        bufferevent_enable(s->stream(), EV_READ);
+}
+
+void client::cancel(std::uint64_t ticket)
+{
+    std::erase_if(waiting_, [ticket](const waiting_request& w) { return w.ticket_ == ticket; });
+    const slot* cancelled = find(ticket);
+    if (!cancelled)
+        return;
+    std::erase_if(slots_, [cancelled](const auto& s) { return s.get() == cancelled; });
+    start_next();
+}
+
+void client::start(slot& at, waiting_request w)
+{
+    at.handler_ = std::move(w.handler_);
+    at.ticket_ = w.ticket_;
+    at.sent_ = false;
+    at.started_ = false;
     evhttp_connection* connection = at.connection_.get();
-    const timeval wait{static_cast<time_t>(timeout.count() / 1'000'000),
-                       static_cast<suseconds_t>(timeout.count() % 1'000'000)};
+    const timeval wait{static_cast<time_t>(w.timeout_.count() / 1'000'000),
+                       static_cast<suseconds_t>(w.timeout_.count() % 1'000'000)};
     evhttp_connection_set_timeout_tv(connection, &wait);
     evhttp_request* raw = evhttp_request_new(&client::done, &at);
+    if (w.in_parts_)
+        evhttp_request_set_chunked_cb(raw, &client::part_read);
+    bufferevent_setwatermark(at.stream(), EV_READ, 0, w.in_parts_ ? unread_most : 0);
     evkeyvalq* out = evhttp_request_get_output_headers(raw);
     evhttp_add_header(out, "Host", to_.ip_.c_str());
-    add_headers(out, r.headers_);
-    evbuffer_add(evhttp_request_get_output_buffer(raw), r.body_.data(), r.body_.size());
-    if (evhttp_make_request(connection, raw, method_type(r.method_), r.target_.c_str()) != 0) {
+    add_headers(out, w.request_.headers_);
+    evbuffer_add(evhttp_request_get_output_buffer(raw), w.request_.body_.data(), w.request_.body_.size());
+    if (evhttp_make_request(connection, raw, method_type(w.request_.method_), w.request_.target_.c_str()) !=
+        0) {
         auto failed = std::exchange(at.handler_, nullptr);
         failed(unreachable_);
         return;
@@ -332,17 +452,27 @@
     send_at_once(connection);
 }
 
+void client::part_read(evhttp_request* raw, void* at)
+{
+    auto& s = *static_cast<slot*>(at);
+    s.held_ += detail::copy_body(evhttp_request_get_input_buffer(raw));
+    if (s.held_.size() >= part_least)
+        s.handler_(s.next_event(raw, false));
+}
+
 void client::done(evhttp_request* raw, void* at)
 {
     auto& s = *static_cast<slot*>(at);
     client& owner = s.owner_;
-    result<response> answer = owner.unreachable_;
-    if (raw && evhttp_request_get_response_code(raw) != 0)
-        answer = response{evhttp_request_get_response_code(raw),
-                          detail::copy_headers(evhttp_request_get_input_headers(raw)),
-                          detail::copy_body(evhttp_request_get_input_buffer(raw))};
-    auto handler = std::exchange(s.handler_, nullptr);
-    handler(std::move(answer));
+    const auto handler = std::exchange(s.handler_, nullptr);
+    if (raw && evhttp_request_get_response_code(raw) != 0 && has_known_end(raw)) {
+        s.held_ += detail::copy_body(evhttp_request_get_input_buffer(raw));
+        handler(s.next_event(raw, true));
+    }
+    else {
+        s.held_.clear();
+        handler(s.sent_ ? owner.broken_ : owner.unreachable_);
+    }
     owner.start_next();
 }
 
@@ -352,7 +482,7 @@
         return;
     waiting_request next = std::move(waiting_.front());
     waiting_.erase(waiting_.begin());
-    send(std::move(next.request_), next.timeout_, std::move(next.handler_));
+    enqueue(std::move(next));
 }
 
 } // namespace guavahaven::http
--- a/src/base/result.cpp
+++ b/src/base/result.cpp
@@ -62,6 +62,7 @@
     entry{code::retry_budget_spent, "retry_budget_spent",
           "the service fails as a whole; see its backend servers"},
     entry{code::limit_reached, "limit_reached", "a limit rule refuses it; see guavahaven explain"},
+    entry{code::caller_gone, "caller_gone", ""},
     entry{code::backend_unreachable, "backend_unreachable", "check the backend server beside the daemon"},
     entry{code::backend_failed, "backend_failed", "check the backend server beside the daemon"},
     entry{code::answer_incomplete, "answer_incomplete", "check the backend server beside the daemon"},
--- a/src/base/result.h
+++ b/src/base/result.h
@@ -59,6 +59,7 @@
     call_depth_exceeded = 414,
     retry_budget_spent = 415,
     limit_reached = 416,
+    caller_gone = 417,
 
     backend_unreachable = 500,
     backend_failed = 501,
--- a/src/caller/door.cpp
+++ b/src/caller/door.cpp
@@ -2,19 +2,12 @@
 
 namespace guavahaven::caller {
 
-namespace {
-
-constexpr duration tick_interval = std::chrono::milliseconds(20);
-
-} // namespace
-
 door::door(event_loop& loop, metrics& counts, decide::entry decisions,
            std::function<void(const daemon_name&, const decide::entry_to_gate&, bool)> to_gate)
     : metrics_(counts), entry_(std::move(decisions)), to_gate_(std::move(to_gate)),
       server_(loop, {}, [this](const std::shared_ptr<http::exchange>& e) { take_request(e); }),
       timer_(loop, [this] { tick(); })
 {
-    timer_.arm(tick_interval);
 }
 
 status door::listen(const http::address& at)
@@ -26,7 +19,7 @@
 {
     last_exchange_ = last_exchange_.next();
     const decide::exchange_id id = last_exchange_;
-    exchanges_.emplace(id, e);
+    exchanges_[id].exchange_ = e;
     e->on_gone([this, id] {
         exchanges_.erase(id);
         handle(decide::caller_gone{id});
@@ -40,6 +33,7 @@
 {
     for (const decide::entry_action& action : entry_.handle(e, clock_.now()))
         std::visit([this](const auto& a) { apply(a); }, action);
+    arm();
 }
 
 void door::apply(const decide::send_to_gate& a)
@@ -52,9 +46,12 @@
     const auto at = exchanges_.find(a.exchange_);
     if (at == exchanges_.end())
         return;
-    if (!a.complete_)
-        return at->second->start(a.response_.status_, a.response_.headers_);
-    at->second->reply(a.response_);
+    open_exchange& to = at->second;
+    if (!a.complete_) {
+        to.exchange_->start(a.response_.status_, a.response_.headers_);
+        return give(a.exchange_, to, a.response_.body_);
+    }
+    to.exchange_->reply(a.response_);
     exchanges_.erase(at);
 }
 
@@ -64,19 +61,26 @@
     if (at == exchanges_.end())
         return;
     if (!a.bytes_.empty())
-        at->second->more(a.bytes_);
+        give(a.exchange_, at->second, a.bytes_);
     if (!a.complete_)
         return;
-    at->second->finish();
+    at->second.exchange_->finish();
     exchanges_.erase(at);
 }
 
+// Tells the entry once the bytes have left for the caller.
+void door::give(decide::exchange_id id, open_exchange& to, const std::string& bytes)
+{
+    to.given_ += bytes.size();
+    to.exchange_->more(bytes, [this, id, given = to.given_] { handle(decide::caller_took{id, given}); });
+}
+
 void door::apply(const decide::reply_abort& a)
 {
     const auto at = exchanges_.find(a.exchange_);
     if (at == exchanges_.end())
         return;
-    at->second->abort();
+    at->second.exchange_->abort();
     exchanges_.erase(at);
 }
 
@@ -90,8 +94,18 @@
 
 void door::tick()
 {
+    armed_.reset();
     handle(decide::entry_tick{});
-    timer_.arm(tick_interval);
+}
+
+// A timer that fires too early does no harm, so it is only ever moved forward.
+void door::arm()
+{
+    const auto due = entry_.next_due();
+    if (!due || (armed_ && *armed_ <= *due))
+        return;
+    armed_ = due;
+    timer_.arm(*due - clock_.now());
 }
 
 } // namespace guavahaven::caller
--- a/src/caller/door.h
+++ b/src/caller/door.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 
 #include "base/http.h"
 #include "base/metrics.h"
@@ -26,22 +27,30 @@
     bool busy() const { return entry_.busy(); }
 
 private:
+    struct open_exchange {
+        std::shared_ptr<http::exchange> exchange_;
+        std::uint64_t given_ = 0; // bytes of the body
+    };
+
     void take_request(const std::shared_ptr<http::exchange>& e);
     void apply(const decide::send_to_gate& a);
     void apply(const decide::reply& a);
     void apply(const decide::reply_part& a);
     void apply(const decide::reply_abort& a);
     void apply(const decide::request_ended& a);
+    void give(decide::exchange_id id, open_exchange& to, const std::string& bytes);
     void tick();
+    void arm();
 
     metrics& metrics_;
     runtime_clock clock_;
     decide::entry entry_;
     std::function<void(const daemon_name&, const decide::entry_to_gate&, bool)> to_gate_;
     http::server server_;
-    std::map<decide::exchange_id, std::shared_ptr<http::exchange>> exchanges_;
+    std::map<decide::exchange_id, open_exchange> exchanges_;
     decide::exchange_id last_exchange_;
     timer timer_;
+    std::optional<time_point> armed_; // when the timer fires
 };
 
 } // namespace guavahaven::caller
--- a/src/decide/call.h
+++ b/src/decide/call.h
@@ -67,6 +67,7 @@
 // gate -> entry: a further part of an answer.
 struct answer_part {
     call_id id_;
+    std::uint64_t offset_ = 0; // bytes of the body before this part
     std::string bytes_;
     bool complete_ = false;
     friend bool operator==(const answer_part&, const answer_part&) = default;
@@ -95,6 +96,14 @@
     friend bool operator==(const cancel&, const cancel&) = default;
 };
 
+// entry -> gate: the caller has taken this many bytes of the body so far. The
+// gate reads on from the backend server no further than a flow_window beyond.
+struct answer_taken {
+    call_id id_;
+    std::uint64_t bytes_ = 0;
+    friend bool operator==(const answer_taken&, const answer_taken&) = default;
+};
+
 // entry -> gate, over a new connection: what became of the call? If it has not
 // run, it must not run any more.
 struct fence {
@@ -116,7 +125,7 @@
     friend bool operator==(const fence_verdict&, const fence_verdict&) = default;
 };
 
-using entry_to_gate = std::variant<call, cancel, fence>;
+using entry_to_gate = std::variant<call, cancel, fence, answer_taken>;
 using gate_to_entry = std::variant<receipt, answer, answer_part, refusal, broken, fence_verdict>;
 
 } // namespace guavahaven::decide
--- /dev/null
+++ b/src/decide/caller_protocol.cpp
@@ -0,0 +1,69 @@
+#include "decide/caller_protocol.h"
+
+#include <charconv>
+
+namespace guavahaven::decide {
+
+namespace {
+
+constexpr int status_failed = 500; // and all above
+
+int http_status(code c)
+{
+    switch (c) {
+    case code::no_route:
+        return 404;
+    case code::request_malformed:
+        return 400;
+    case code::request_too_large:
+        return 413;
+    case code::duplicate_request:
+        return 409;
+    case code::suspect_request:
+        return 422;
+    case code::call_depth_exceeded:
+        return 508;
+    case code::limit_reached:
+        return 429;
+    case code::deadline_exceeded:
+        return 504;
+    case code::outcome_unknown:
+    case code::backend_failed:
+    case code::answer_incomplete:
+        return 502;
+    default:
+        return 503;
+    }
+}
+
+} // namespace
+
+std::optional<std::uint64_t> header_number(const http::request& request, std::string_view name)
+{
+    const std::string text = http::find_header(request.headers_, name);
+    std::uint64_t number = 0;
+    const char* end = text.data() + text.size();
+    const auto [stop, failed] = std::from_chars(text.data(), end, number);
+    if (text.empty() || failed != std::errc() || stop != end)
+        return {};
+    return number;
+}
+
+void set_header(http::headers& headers, std::string_view name, const std::string& text)
+{
+    std::erase_if(headers, [name](const http::header& h) { return http::same_name(h.name_, name); });
+    headers.push_back({std::string(name), text});
+}
+
+bool failed(const http::response& response)
+{
+    return response.status_ >= status_failed;
+}
+
+http::response error_response(code c)
+{
+    const std::string body = to_string(error{c, std::string(remedy(c))}) + "\n";
+    return {http_status(c), {{std::string(result_header), std::to_string(number(c))}}, body};
+}
+
+} // namespace guavahaven::decide
--- a/src/decide/entry.cpp
+++ b/src/decide/entry.cpp
@@ -1,7 +1,6 @@
 #include "decide/entry.h"
 
 #include <algorithm>
-#include <charconv>
 
 #include "decide/routing.h"
 
@@ -10,64 +9,41 @@
 namespace {
 
 constexpr std::uint32_t depth_most = 32;                             // calls below a caller's request
+constexpr std::uint32_t redirects_most = 8;                          // refusals that cost nobody anything
 constexpr duration receipt_timeout = std::chrono::milliseconds(250); // until a silent connection is doubted
 constexpr duration fence_timeout = std::chrono::milliseconds(500);   // until a fence is given up
+constexpr duration expiry_grace = std::chrono::milliseconds(100);    // for the fate of an expired request
+constexpr std::uint64_t wait_most = 86'400'000;                      // milliseconds a caller may ask for
+constexpr int status_shed = 503; // the backend server had no room, or none of its own
 
-std::optional<std::uint64_t> header_number(const http::request& request, std::string_view name)
-{
-    const std::string text = http::find_header(request.headers_, name);
-    std::uint64_t number = 0;
-    const char* end = text.data() + text.size();
-    const auto [stop, failed] = std::from_chars(text.data(), end, number);
-    if (text.empty() || failed != std::errc() || stop != end)
-        return {};
-    return number;
-}
-
-void set_header(http::request& request, std::string_view name, const std::string& text)
-{
-    std::erase_if(request.headers_, [name](const http::header& h) { return h.name_ == name; });
-    request.headers_.push_back({std::string(name), text});
-}
-
-int http_status(code c)
+// True for codes that tell a caller that its request has not run.
+bool claims_not_run(code c)
 {
     switch (c) {
-    case code::no_route:
-        return 404;
-    case code::request_malformed:
-        return 400;
-    case code::request_too_large:
-        return 413;
-    case code::duplicate_request:
-        return 409;
-    case code::suspect_request:
-        return 422;
-    case code::call_depth_exceeded:
-        return 508;
-    case code::limit_reached:
-        return 429;
-    case code::deadline_exceeded:
-        return 504;
     case code::outcome_unknown:
+    case code::deadline_exceeded:
     case code::backend_failed:
     case code::answer_incomplete:
-        return 502;
+    case code::retry_budget_spent:
+    case code::duplicate_request:
+    case code::suspect_request:
+        return false;
     default:
-        return 503;
+        return true;
     }
 }
 
-} // namespace
-
-http::response error_response(code c)
+// What a refusal says of the gate.
+attempt_end end_of(code refused)
 {
-    const std::string body = to_string(error{c, std::string(remedy(c))}) + "\n";
-    return {http_status(c), {{std::string(result_header), std::to_string(number(c))}}, body};
+    return refused == code::overloaded || refused == code::deadline_exceeded ? attempt_end::refused
+                                                                             : attempt_end::unreachable;
 }
 
+} // namespace
+
 entry::entry(daemon_name self, incarnation started, data_center_name data_center, std::uint64_t seed)
-    : self_(std::move(self)), started_(started), data_center_(std::move(data_center)), random_(seed)
+    : self_(std::move(self)), started_(started), random_(seed), balancer_(std::move(data_center))
 {
 }
 
@@ -77,36 +53,44 @@
     return std::exchange(actions_, {});
 }
 
+std::optional<time_point> entry::next_due() const
+{
+    if (due_.empty())
+        return {};
+    return due_.begin()->first;
+}
+
 void entry::on(const caller_request& e, time_point now)
 {
     const auto refuse = [&](code why) { actions_.push_back(reply{e.exchange_, error_response(why), true}); };
     if (!view_ || !view_->configuration_)
         return refuse(code::starting);
-    const route_rule* route = find_route(*view_->configuration_, e.request_);
+    const configuration& c = *view_->configuration_;
+    const route_rule* route = find_route(c, e.request_);
     if (!route)
         return refuse(code::no_route);
-    const class_rule* class_of_route = view_->configuration_->find_class(route->class_);
+    const class_rule* class_of_route = c.find_class(route->class_);
     const auto depth = static_cast<std::uint32_t>(header_number(e.request_, depth_header).value_or(0));
     if (depth > depth_most)
         return refuse(code::call_depth_exceeded);
 
-    request_state r;
+    request_state& r = requests_[e.exchange_];
     r.exchange_ = e.exchange_;
     r.started_ = now;
     duration wait = class_of_route->deadline_;
     if (const auto asked = header_number(e.request_, deadline_header))
-        wait =
-            std::min<duration>(wait, std::chrono::milliseconds(std::min<std::uint64_t>(*asked, 86'400'000)));
+        wait = std::min<duration>(wait, std::chrono::milliseconds(std::min(*asked, wait_most)));
     r.deadline_ = now + wait;
     r.call_.once_ = class_of_route->once_ || !idempotent(e.request_.method_);
     r.call_.service_ = route->service_;
     r.call_.class_ = route->class_;
     r.call_.route_ = route->method_ + " " + route->path_;
-    r.call_.configuration_ = view_->configuration_->number_;
+    r.call_.configuration_ = c.number_;
     r.call_.depth_ = depth;
     r.call_.request_ = e.request_;
     r.call_.version_ = choose_version(route->service_);
     r.call_.identity_ = http::find_header(e.request_.headers_, key_header);
+    budgets_[route->service_].earn(c.retry_of(route->service_).budget_);
     attempt(r, now, code::no_backend_server);
 }
 
@@ -132,161 +116,215 @@
     return c.find_service(service)->version_;
 }
 
-// Own data centre first; among those, the less loaded of two drawn at random.
-std::optional<daemon_name> entry::choose_gate(const request_state& r)
+std::optional<daemon_name> entry::choose_gate(request_state& r, time_point now)
 {
-    std::vector<const member*> near;
-    std::vector<const member*> far;
-    for (const member& m : view_->members_) {
-        const bool fits = m.state_ == member_state::alive && m.service_ == r.call_.service_ &&
-                          m.version_ == r.call_.version_ && !r.tried_.contains(m.name_);
-        if (!fits || view_->configuration_->find_out(m.data_center_))
-            continue;
-        (m.data_center_ == data_center_ ? near : far).push_back(&m);
-    }
-    const auto& pool = near.empty() ? far : near;
-    if (pool.empty())
-        return {};
-    const auto load = [&](const member* m) {
-        const gate_state& g = gates_[m->name_];
-        const double limit = std::max<std::uint32_t>(1, g.load_.limit_);
-        return (g.in_flight_ + g.load_.queued_) / limit;
-    };
-    const member* a = pool[random_index(random_, pool.size())];
-    const member* b = pool[random_index(random_, pool.size())];
-    return load(a) <= load(b) ? a->name_ : b->name_;
+    const auto gate = balancer_.choose(r.call_.service_, r.call_.version_, r.tried_, random_, now);
+    if (gate)
+        return gate;
+    // A version that nobody serves any more, or not yet, gives way to the one of the service line.
+    r.call_.version_ = view_->configuration_->find_service(r.call_.service_)->version_;
+    return balancer_.choose(r.call_.service_, r.call_.version_, r.tried_, random_, now);
 }
 
 void entry::attempt(request_state& r, time_point now, code last_failure)
 {
-    auto gate = choose_gate(r);
-    // A version that nobody serves any more, or not yet, gives way to the one of the service line.
-    if (!gate && r.call_.version_ != view_->configuration_->find_service(r.call_.service_)->version_) {
-        r.call_.version_ = view_->configuration_->find_service(r.call_.service_)->version_;
-        gate = choose_gate(r);
-    }
+    const auto gate = choose_gate(r, now);
     if (!gate)
         return fail(r, now, last_failure);
-    r.gate_ = *gate;
+    send_attempt(r, *gate, now);
+}
+
+void entry::send_attempt(request_state& r, const daemon_name& gate, time_point now)
+{
+    r.gate_ = gate;
     r.sent_ = now;
     r.received_ = false;
     r.fenced_ = false;
-    r.tried_.insert(*gate);
-    ++r.attempts_;
+    r.tried_.insert(gate);
     r.call_.id_ = {started_, ++last_sequence_};
     if (r.call_.identity_.empty())
         r.call_.identity_ =
             self_.str() + "/" + std::to_string(started_.value()) + "/" + std::to_string(last_sequence_);
     r.call_.remaining_ = r.deadline_ - now;
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(r.call_.remaining_);
-    set_header(r.call_.request_, deadline_header, std::to_string(left.count()));
-    set_header(r.call_.request_, depth_header, std::to_string(r.call_.depth_ + 1));
-    set_header(r.call_.request_, identity_header, r.call_.identity_);
-    ++gates_[*gate].in_flight_;
-    actions_.push_back(send_to_gate{*gate, r.call_, false});
-    requests_[r.call_.id_] = r;
+    http::headers& headers = r.call_.request_.headers_;
+    set_header(headers, deadline_header, std::to_string(left.count()));
+    set_header(headers, depth_header, std::to_string(r.call_.depth_ + 1));
+    set_header(headers, identity_header, r.call_.identity_);
+    balancer_.began(gate);
+    attempts_[r.call_.id_] = r.exchange_;
+    wake_at(r, std::min(r.deadline_, now + receipt_timeout));
+    actions_.push_back(send_to_gate{gate, r.call_, false});
+}
+
+void entry::close_attempt(request_state& r, attempt_end how, time_point now)
+{
+    if (attempts_.erase(r.call_.id_) > 0)
+        balancer_.ended(r.gate_, how, now - r.sent_, random_, now);
 }
 
 void entry::on(const caller_gone& e, time_point now)
 {
-    for (auto& [id, r] : requests_) {
-        if (r.exchange_ != e.exchange_)
-            continue;
-        actions_.push_back(send_to_gate{r.gate_, cancel{id}, false});
-        return end(r, now, code::not_run);
-    }
+    const auto at = requests_.find(e.exchange_);
+    if (at == requests_.end())
+        return;
+    request_state& r = at->second;
+    actions_.push_back(send_to_gate{r.gate_, cancel{r.call_.id_}, false});
+    close_attempt(r, attempt_end::dropped, now);
+    end(r, now, code::caller_gone);
+}
+
+void entry::on(const caller_took& e, time_point)
+{
+    const auto at = requests_.find(e.exchange_);
+    if (at != requests_.end())
+        actions_.push_back(
+            send_to_gate{at->second.gate_, answer_taken{at->second.call_.id_, e.bytes_}, false});
 }
 
 void entry::on(const gate_message& e, time_point now)
 {
     const call_id id = std::visit([](const auto& m) { return m.id_; }, e.message_);
-    const auto at = requests_.find(id);
-    if (at == requests_.end() || at->second.gate_ != e.from_)
+    const auto at = attempts_.find(id);
+    if (at == attempts_.end())
         return; // late: another attempt took over, or the caller has gone
-    std::visit([&](const auto& m) { take(at->second, m, now); }, e.message_);
+    request_state& r = requests_.at(at->second);
+    if (r.gate_ != e.from_)
+        return;
+    std::visit([&](const auto& m) { take(r, m, now); }, e.message_);
 }
 
 void entry::take(request_state& r, const receipt&, time_point)
 {
+    if (r.expired_)
+        return;
     r.received_ = true;
+    wake_at(r, r.deadline_);
 }
 
 void entry::take(request_state& r, const answer& m, time_point now)
 {
-    gates_[r.gate_].load_ = m.load_;
-    gates_[r.gate_].reported_ = now;
+    balancer_.reported(r.gate_, m.load_, now);
+    if (r.answering_)
+        return; // doubled
+    const bool shed = m.response_.status_ == status_shed;
+    const bool settled = r.call_.once_ || !m.complete_ || !shed ||
+                         !http::find_header(m.response_.headers_, retried_header).empty();
+    if (!settled && may_retry(r, now)) {
+        close_attempt(r, attempt_end::refused, now);
+        r.maybe_ran_ = true;
+        return attempt(r, now, code::backend_failed);
+    }
     r.received_ = true;
     r.answering_ = true;
+    r.passed_ = m.response_.body_.size();
     http::response whole = m.response_;
-    whole.headers_.push_back({std::string(result_header), "0"});
+    set_header(whole.headers_, result_header, "0");
+    if (failed(whole))
+        set_header(whole.headers_, retried_header, "1");
+    const attempt_end how = shed            ? attempt_end::refused
+                            : failed(whole) ? attempt_end::failed
+                                            : attempt_end::answered;
     actions_.push_back(reply{r.exchange_, std::move(whole), m.complete_});
-    if (m.complete_)
-        end(r, now, code::ok);
+    if (!m.complete_)
+        return wake_at(r, r.deadline_);
+    close_attempt(r, how, now);
+    end(r, now, code::ok);
 }
 
 void entry::take(request_state& r, const answer_part& m, time_point now)
 {
+    if (!r.answering_ || m.offset_ < r.passed_)
+        return; // doubled
+    if (m.offset_ > r.passed_)
+        return cut(r, now); // a part between was lost
+    r.passed_ += m.bytes_.size();
     actions_.push_back(reply_part{r.exchange_, m.bytes_, m.complete_});
-    if (m.complete_)
-        end(r, now, code::ok);
+    if (!m.complete_)
+        return;
+    close_attempt(r, attempt_end::answered, now);
+    end(r, now, code::ok);
 }
 
 void entry::take(request_state& r, const refusal& m, time_point now)
 {
-    gates_[r.gate_].load_ = m.load_;
-    if (m.code_ == code::duplicate_request || m.code_ == code::suspect_request)
+    balancer_.reported(r.gate_, m.load_, now);
+    if (r.answering_)
+        return;
+    if (m.code_ == code::duplicate_request || m.code_ == code::suspect_request) {
+        close_attempt(r, attempt_end::answered, now);
         return fail(r, now, m.code_);
+    }
+    close_attempt(r, end_of(m.code_), now);
     try_elsewhere(r, now, m.code_);
 }
 
 void entry::take(request_state& r, const broken& m, time_point now)
 {
-    gates_[r.gate_].load_ = m.load_;
+    balancer_.reported(r.gate_, m.load_, now);
     settle_broken(r, now, m.code_);
 }
 
 void entry::take(request_state& r, const fence_verdict& m, time_point now)
 {
+    if (!r.fenced_)
+        return; // doubled, or settled otherwise
     switch (m.fate_) {
     case fate::never_ran:
-        return try_elsewhere(r, now, code::not_run);
+        if (r.answering_)
+            return;
+        close_attempt(r, r.expired_ ? attempt_end::dropped : attempt_end::unreachable, now);
+        return r.expired_ ? fail(r, now, code::not_run) : try_elsewhere(r, now, code::not_run);
     case fate::ran:
         return settle_broken(r, now, code::outcome_unknown);
     case fate::running:
+        if (r.expired_)
+            return settle_broken(r, now, code::outcome_unknown);
         r.received_ = true;
-        return;
+        r.fenced_ = false;
+        return wake_at(r, r.deadline_);
     }
 }
 
 void entry::try_elsewhere(request_state& r, time_point now, code why)
 {
-    const retry_rule retry = view_->configuration_->retry_of(r.call_.service_);
-    if (r.attempts_ >= retry.attempts_ || now >= r.deadline_)
+    if (now >= r.deadline_)
+        return fail(r, now, why);
+    const bool costly = why == code::overloaded;
+    if (costly ? !may_retry(r, now) : ++r.redirects_ > redirects_most)
         return fail(r, now, why);
-    request_state next = r;
-    --gates_[r.gate_].in_flight_;
-    requests_.erase(r.call_.id_);
-    attempt(next, now, why);
+    attempt(r, now, why);
+}
+
+bool entry::may_retry(request_state& r, time_point now)
+{
+    const retry_rule rule = view_->configuration_->retry_of(r.call_.service_);
+    if (now >= r.deadline_ || r.retries_ + 1 >= rule.attempts_ || !budgets_[r.call_.service_].spend())
+        return false;
+    ++r.retries_;
+    return true;
 }
 
 void entry::settle_broken(request_state& r, time_point now, code why)
 {
-    if (r.answering_) {
-        actions_.push_back(reply_abort{r.exchange_});
-        return end(r, now, code::answer_incomplete);
-    }
+    if (r.answering_)
+        return cut(r, now);
+    close_attempt(r, r.expired_ ? attempt_end::dropped : attempt_end::failed, now);
+    r.maybe_ran_ = true;
     if (r.call_.once_)
         return fail(r, now, code::outcome_unknown);
-    try_elsewhere(r, now, why);
+    if (!may_retry(r, now))
+        return fail(r, now, why);
+    attempt(r, now, why);
 }
 
 void entry::on(const gate_lost& e, time_point now)
 {
-    std::vector<call_id> affected;
+    std::vector<exchange_id> affected;
     for (const auto& [id, r] : requests_)
         if (r.gate_ == e.gate_)
             affected.push_back(id);
-    for (const call_id id : affected) {
+    for (const exchange_id id : affected) {
         request_state& r = requests_.at(id);
         if (r.answering_ || !r.call_.once_ || r.fenced_)
             settle_broken(r, now, code::outcome_unknown);
@@ -298,52 +336,86 @@
 void entry::ask_fate(request_state& r, time_point now)
 {
     r.fenced_ = true;
-    r.sent_ = now;
+    wake_at(r, std::min(r.deadline_, now + fence_timeout));
     actions_.push_back(send_to_gate{r.gate_, fence{r.call_.id_}, true});
 }
 
-void entry::on(const entry_view_changed& e, time_point)
+void entry::on(const entry_view_changed& e, time_point now)
 {
+    const bool same =
+        view_ && view_->configuration_ == e.view_->configuration_ && view_->members_ == e.view_->members_;
     view_ = e.view_;
+    if (!same)
+        balancer_.set_view(*view_, now);
 }
 
 void entry::on(const entry_tick&, time_point now)
 {
-    std::vector<call_id> ids;
-    for (const auto& [id, r] : requests_)
-        ids.push_back(id);
-    for (const call_id id : ids) {
-        request_state& r = requests_.at(id);
-        if (now >= r.deadline_) {
-            actions_.push_back(send_to_gate{r.gate_, cancel{id}, false});
-            fail(r, now, r.call_.once_ ? code::outcome_unknown : code::deadline_exceeded);
-        }
-        else if (!r.received_ && !r.fenced_ && now - r.sent_ > receipt_timeout) {
+    while (!due_.empty() && due_.begin()->first <= now) {
+        request_state& r = requests_.at(due_.begin()->second);
+        if (r.expired_)
+            settle_broken(r, now, code::outcome_unknown);
+        else if (now >= r.deadline_)
+            expire(r, now);
+        else if (r.received_)
+            wake_at(r, r.deadline_);
+        else if (!r.fenced_ && r.call_.once_)
             ask_fate(r, now);
-        }
-        else if (!r.received_ && r.fenced_ && now - r.sent_ > fence_timeout) {
+        else {
+            // What is sent next goes over a connection that is not silent.
+            actions_.push_back(send_to_gate{r.gate_, cancel{r.call_.id_}, true});
             settle_broken(r, now, code::outcome_unknown);
         }
     }
 }
 
-void entry::fail(request_state& r, time_point now, code why)
+// A request that must not run twice is not given up before its fate was asked
+// for: one that only waits there can be told apart from one that runs.
+void entry::expire(request_state& r, time_point now)
 {
+    if (r.call_.once_ && !r.answering_) {
+        r.expired_ = true;
+        r.fenced_ = true;
+        actions_.push_back(send_to_gate{r.gate_, fence{r.call_.id_}, false});
+        return wake_at(r, now + expiry_grace);
+    }
+    actions_.push_back(send_to_gate{r.gate_, cancel{r.call_.id_}, false});
     if (r.answering_)
-        actions_.push_back(reply_abort{r.exchange_});
-    else
-        actions_.push_back(reply{r.exchange_, error_response(why), true});
-    end(r, now, why);
+        return cut(r, now);
+    close_attempt(r, attempt_end::failed, now);
+    fail(r, now, code::deadline_exceeded);
+}
+
+void entry::fail(request_state& r, time_point now, code why)
+{
+    const code said = r.maybe_ran_ && claims_not_run(why) ? code::outcome_unknown : why;
+    http::response answer = error_response(said);
+    set_header(answer.headers_, retried_header, "1");
+    actions_.push_back(reply{r.exchange_, std::move(answer), true});
+    end(r, now, said);
+}
+
+// An answer that can't be completed any more must not look whole.
+void entry::cut(request_state& r, time_point now)
+{
+    actions_.push_back(send_to_gate{r.gate_, cancel{r.call_.id_}, false});
+    actions_.push_back(reply_abort{r.exchange_});
+    close_attempt(r, attempt_end::failed, now);
+    end(r, now, code::answer_incomplete);
 }
 
 void entry::end(request_state& r, time_point now, code result)
 {
     actions_.push_back(request_ended{r.call_.class_, result, now - r.started_});
-    const auto at = requests_.find(r.call_.id_);
-    if (at == requests_.end())
-        return; // no attempt was under way
-    --gates_[r.gate_].in_flight_;
-    requests_.erase(at);
+    due_.erase({r.due_, r.exchange_});
+    requests_.erase(r.exchange_);
+}
+
+void entry::wake_at(request_state& r, time_point due)
+{
+    due_.erase({r.due_, r.exchange_});
+    r.due_ = due;
+    due_.emplace(due, r.exchange_);
 }
 
 } // namespace guavahaven::decide
--- a/src/decide/entry.h
+++ b/src/decide/entry.h
@@ -12,7 +12,10 @@
 #include <vector>
 
 #include "base/random.h"
+#include "decide/balancer.h"
 #include "decide/call.h"
+#include "decide/caller_protocol.h"
+#include "decide/retry_budget.h"
 #include "decide/view.h"
 
 namespace guavahaven::decide {
@@ -29,6 +32,12 @@
     exchange_id exchange_;
     friend bool operator==(const caller_gone&, const caller_gone&) = default;
 };
+// The caller has taken all bytes of the body up to here.
+struct caller_took {
+    exchange_id exchange_;
+    std::uint64_t bytes_ = 0;
+    friend bool operator==(const caller_took&, const caller_took&) = default;
+};
 struct gate_message {
     daemon_name from_;
     gate_to_entry message_;
@@ -45,8 +54,8 @@
 struct entry_tick {
     friend bool operator==(const entry_tick&, const entry_tick&) = default;
 };
-using entry_event =
-    std::variant<caller_request, caller_gone, gate_message, gate_lost, entry_view_changed, entry_tick>;
+using entry_event = std::variant<caller_request, caller_gone, caller_took, gate_message, gate_lost,
+                                 entry_view_changed, entry_tick>;
 
 struct send_to_gate {
     daemon_name to_;
@@ -82,16 +91,6 @@
 using entry_action = std::variant<send_to_gate, reply, reply_part, reply_abort, request_ended>;
 using entry_actions = std::vector<entry_action>;
 
-// Headers by which callers and backend servers talk to the daemons.
-inline constexpr std::string_view key_header = "Idempotency-Key";
-inline constexpr std::string_view deadline_header = "Request-Timeout-Ms"; // time left
-inline constexpr std::string_view depth_header = "Call-Depth";
-inline constexpr std::string_view identity_header = "Request-Id";
-inline constexpr std::string_view result_header = "Guavahaven-Result"; // numbered result code
-
-// The HTTP answer that tells a caller of a result code.
-http::response error_response(code c);
-
 class entry {
 public:
     entry(daemon_name self, incarnation started, data_center_name data_center, std::uint64_t seed);
@@ -100,28 +99,32 @@
 
     bool busy() const { return !requests_.empty(); }
 
+    // When a tick is wanted next; empty if nothing is under way.
+    std::optional<time_point> next_due() const;
+
 private:
     struct request_state {
         exchange_id exchange_;
-        call call_;
+        call call_; // of the current attempt
         time_point started_;
         time_point deadline_;
+        time_point due_;
         daemon_name gate_;
         time_point sent_;
-        std::uint32_t attempts_ = 0;
-        bool received_ = false; // the gate has acknowledged it
+        std::uint32_t retries_ = 0;   // after attempts that cost a gate or backend server something
+        std::uint32_t redirects_ = 0; // after refusals that cost nobody anything
+        bool received_ = false;       // the gate has acknowledged it
         bool fenced_ = false;
-        bool answering_ = false; // part of the answer went to the caller
+        bool expired_ = false;     // past its deadline; only its fate is still asked for
+        bool maybe_ran_ = false;   // an earlier attempt may have run
+        bool answering_ = false;   // part of the answer went to the caller
+        std::uint64_t passed_ = 0; // bytes of the body among it
         std::set<daemon_name> tried_;
     };
-    struct gate_state {
-        load_report load_;
-        time_point reported_{};
-        std::uint32_t in_flight_ = 0;
-    };
 
     void on(const caller_request& e, time_point now);
     void on(const caller_gone& e, time_point now);
+    void on(const caller_took& e, time_point now);
     void on(const gate_message& e, time_point now);
     void on(const gate_lost& e, time_point now);
     void on(const entry_view_changed& e, time_point now);
@@ -135,24 +138,33 @@
     void take(request_state& r, const fence_verdict& m, time_point now);
 
     version_name choose_version(const service_name& service);
-    std::optional<daemon_name> choose_gate(const request_state& r);
+    std::optional<daemon_name> choose_gate(request_state& r, time_point now);
     void attempt(request_state& r, time_point now, code last_failure);
+    void send_attempt(request_state& r, const daemon_name& gate, time_point now);
+    void close_attempt(request_state& r, attempt_end how, time_point now);
     // After an attempt that has surely not run.
     void try_elsewhere(request_state& r, time_point now, code why);
     // After an attempt that may have run.
     void settle_broken(request_state& r, time_point now, code why);
+    // Spends a retry if the rule, the budget and the time allow one.
+    bool may_retry(request_state& r, time_point now);
     void ask_fate(request_state& r, time_point now);
+    void expire(request_state& r, time_point now);
     void fail(request_state& r, time_point now, code why);
+    void cut(request_state& r, time_point now);
     void end(request_state& r, time_point now, code result);
+    void wake_at(request_state& r, time_point due);
 
     daemon_name self_;
     incarnation started_;
-    data_center_name data_center_;
     random_engine random_;
     view_ptr view_;
+    balancer balancer_;
+    std::map<service_name, retry_budget> budgets_;
     std::uint64_t last_sequence_ = 0;
-    std::map<call_id, request_state> requests_; // by the id of the current attempt
-    std::map<daemon_name, gate_state> gates_;
+    std::map<exchange_id, request_state> requests_;
+    std::map<call_id, exchange_id> attempts_; // those under way
+    std::set<std::pair<time_point, exchange_id>> due_;
     entry_actions actions_;
 };
 
--- a/src/decide/gate.cpp
+++ b/src/decide/gate.cpp
@@ -63,6 +63,7 @@
     std::visit(guavahaven::overloaded{
                    [&](const call& c) { take_call(e.from_, c, now); },
                    [&](const cancel& c) { take_cancel(e.from_, c); },
+                   [&](const answer_taken& t) { take_progress(e.from_, t); },
                    [&](const fence& f) { take_fence(e.from_, f, now); },
                },
                e.message_);
@@ -99,7 +100,7 @@
         return refuse(from, c.id_, code::duplicate_request);
 
     send(from, receipt{c.id_});
-    held_call held{from, c, now + c.remaining_};
+    held_call held{from, c, now + c.remaining_, {}};
     if (static_cast<double>(running_.size()) + 1 <= limit_)
         return start(std::move(held), now);
     if (waiting_.size() >= waiting_most)
@@ -140,6 +141,22 @@
             actions_.push_back(abort_run{run});
 }
 
+void gate::take_progress(const daemon_name& from, const answer_taken& t)
+{
+    for (auto& [run, held] : running_) {
+        if (held.from_ != from || held.call_.id_ != t.id_)
+            continue;
+        held.window_.take(t.bytes_);
+        return keep_window(run, held);
+    }
+}
+
+void gate::keep_window(run_id run, held_call& held)
+{
+    if (held.window_.turned())
+        actions_.push_back(pause_run{run, held.window_.paused()});
+}
+
 void gate::take_fence(const daemon_name& from, const fence& f, time_point now)
 {
     const auto same = [&](const held_call& h) { return h.call_.id_ == f.id_; };
@@ -165,7 +182,9 @@
         grow_limit();
     send(at->second.from_, answer{at->second.call_.id_, load(), e.response_, e.complete_});
     if (e.complete_)
-        end_run(at, now);
+        return end_run(at, now);
+    at->second.window_.pass(e.response_.body_.size());
+    keep_window(at->first, at->second);
 }
 
 void gate::on(const run_continued& e, time_point now)
@@ -173,9 +192,12 @@
     const auto at = running_.find(e.run_);
     if (at == running_.end())
         return;
-    send(at->second.from_, answer_part{at->second.call_.id_, e.bytes_, e.complete_});
+    held_call& held = at->second;
+    send(held.from_, answer_part{held.call_.id_, held.window_.passed(), e.bytes_, e.complete_});
     if (e.complete_)
-        end_run(at, now);
+        return end_run(at, now);
+    held.window_.pass(e.bytes_.size());
+    keep_window(at->first, held);
 }
 
 void gate::on(const run_not_sent& e, time_point now)
--- a/src/decide/gate.h
+++ b/src/decide/gate.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "decide/call.h"
+#include "decide/flow_window.h"
 #include "decide/view.h"
 
 namespace guavahaven::decide {
@@ -85,12 +86,18 @@
     run_id run_;
     friend bool operator==(const abort_run&, const abort_run&) = default;
 };
+// Stop reading its answer, or go on.
+struct pause_run {
+    run_id run_;
+    bool paused_ = true;
+    friend bool operator==(const pause_run&, const pause_run&) = default;
+};
 struct send_to_entry {
     daemon_name to_;
     gate_to_entry message_;
     friend bool operator==(const send_to_entry&, const send_to_entry&) = default;
 };
-using gate_action = std::variant<start_run, abort_run, send_to_entry>;
+using gate_action = std::variant<start_run, abort_run, pause_run, send_to_entry>;
 using gate_actions = std::vector<gate_action>;
 
 class gate {
@@ -110,6 +117,7 @@
         daemon_name from_;
         call call_;
         time_point deadline_;
+        flow_window window_; // of its answer
     };
     // What is remembered of a call that must not run twice.
     struct remembered {
@@ -130,6 +138,8 @@
 
     void take_call(const daemon_name& from, const call& c, time_point now);
     void take_cancel(const daemon_name& from, const cancel& c);
+    void take_progress(const daemon_name& from, const answer_taken& t);
+    void keep_window(run_id run, held_call& held);
     void take_fence(const daemon_name& from, const fence& f, time_point now);
 
     // The reason why a call is not admitted; code::ok if it is.
--- /dev/null
+++ b/src/decide/retry_budget.cpp
@@ -0,0 +1,20 @@
+#include "decide/retry_budget.h"
+
+#include <algorithm>
+
+namespace guavahaven::decide {
+
+void retry_budget::earn(double share)
+{
+    retries_ = std::min(most, retries_ + share);
+}
+
+bool retry_budget::spend()
+{
+    if (retries_ < 1)
+        return false;
+    retries_ -= 1;
+    return true;
+}
+
+} // namespace guavahaven::decide
--- a/src/peer/layouts.h
+++ b/src/peer/layouts.h
@@ -45,10 +45,11 @@
 GUAVAHAVEN_LAYOUT(decide::receipt, &decide::receipt::id_);
 GUAVAHAVEN_LAYOUT(decide::answer, &decide::answer::id_, &decide::answer::load_, &decide::answer::response_,
                   &decide::answer::complete_);
-GUAVAHAVEN_LAYOUT(decide::answer_part, &decide::answer_part::id_, &decide::answer_part::bytes_,
-                  &decide::answer_part::complete_);
+GUAVAHAVEN_LAYOUT(decide::answer_part, &decide::answer_part::id_, &decide::answer_part::offset_,
+                  &decide::answer_part::bytes_, &decide::answer_part::complete_);
 GUAVAHAVEN_LAYOUT(decide::refusal, &decide::refusal::id_, &decide::refusal::code_, &decide::refusal::load_);
 GUAVAHAVEN_LAYOUT(decide::broken, &decide::broken::id_, &decide::broken::code_, &decide::broken::load_);
+GUAVAHAVEN_LAYOUT(decide::answer_taken, &decide::answer_taken::id_, &decide::answer_taken::bytes_);
 GUAVAHAVEN_LAYOUT(decide::cancel, &decide::cancel::id_);
 GUAVAHAVEN_LAYOUT(decide::fence, &decide::fence::id_);
 GUAVAHAVEN_LAYOUT(decide::fence_verdict, &decide::fence_verdict::id_, &decide::fence_verdict::fate_);
--- a/tests/fakes/backend_server.cpp
+++ b/tests/fakes/backend_server.cpp
@@ -2,7 +2,8 @@
 // runs requests in a bounded number of slots, and writes a journal line for
 // each run. Faults are switched on over its control path.
 //
-//   POST /control?fail=PERCENT&slow_ms=N&fail_path=PATH&cold=0|1&draining=0|1&silent=0|1&crash_path=PATH
+//   POST
+//   /control?fail=PERCENT&fail_status=N&slow_ms=N&fail_path=PATH&cold=0|1&draining=0|1&silent=0|1&crash_path=PATH
 //   GET  /health
 //   any other path: a run. Header Call-Chain: N makes the run call PATH once
 //   more through its daemon, with N-1.
@@ -79,6 +80,7 @@
 private:
     using exchange_ptr = std::shared_ptr<http::exchange>;
     static constexpr duration announce_interval = std::chrono::milliseconds(500);
+    static constexpr duration cut_delay = std::chrono::milliseconds(100);
     static constexpr duration call_timeout = std::chrono::seconds(30);
 
     struct run {
@@ -151,20 +153,43 @@
         r.timer_->arm(settings_.work_ + (on_path ? slow_ : duration::zero()));
     }
 
+    // Names the request that was run; parameter bytes asks for a body of that
+    // size, a repetition of the target.
+    http::response own_answer(const http::request& r) const
+    {
+        http::response answer{200, {{"Ran-Target", r.target_}}, settings_.version_ + "\n"};
+        const std::string size = http::query_parameter(r.target_, "bytes");
+        if (size.empty())
+            return answer;
+        answer.body_.clear();
+        while (answer.body_.size() < std::stoul(size))
+            answer.body_ += r.target_;
+        return answer;
+    }
+
+    // The answer of a call in a chain; a failure keeps the header that says it was retried below.
+    static http::response passed_on(const http::response& r)
+    {
+        http::response answer{r.status_, {}, r.body_};
+        const std::string retried = http::find_header(r.headers_, "Guavahaven-Retried");
+        if (!retried.empty())
+            answer.headers_.push_back({"Guavahaven-Retried", retried});
+        return answer;
+    }
+
     void work_done(std::uint64_t id)
     {
         const http::request& received = runs_.at(id).exchange_->received();
         const std::string chain = http::find_header(received.headers_, "Call-Chain");
         const int left = chain.empty() ? 0 : std::stoi(chain);
         if (left == 0)
-            return finish(id, {200, {}, settings_.version_ + "\n"});
+            return finish(id, own_answer(received));
         http::request next = received;
         next.headers_ = http::end_to_end(received.headers_);
         std::erase_if(next.headers_, [](const http::header& h) { return h.name_ == "Call-Chain"; });
         next.headers_.push_back({"Call-Chain", std::to_string(left - 1)});
         callers_.send(next, call_timeout, [this, id](const result<http::response>& r) {
-            finish(id, ok(r) ? http::response{value(r).status_, {}, value(r).body_}
-                             : http::response{502, {}, ""});
+            finish(id, ok(r) ? passed_on(value(r)) : http::response{502, {}, ""});
         });
     }
 
@@ -178,8 +203,26 @@
         runs_.erase(at);
         note(failing ? "failed" : "done", e->received());
         if (failing)
-            answer = {500, {}, "broken\n"};
-        e->reply(answer);
+            answer = {fail_status_, {}, "broken\n"};
+        const std::string cut = http::query_parameter(e->received().target_, "cut");
+        if (cut.empty())
+            e->reply(answer);
+        else
+            reply_in_part(e, answer, std::stoul(cut));
+    }
+
+    // Ends the connection after some bytes of the body; with chunked=1 without having said its length.
+    void reply_in_part(const exchange_ptr& e, const http::response& answer, std::size_t bytes)
+    {
+        http::headers headers = answer.headers_;
+        if (http::query_parameter(e->received().target_, "chunked").empty())
+            headers.push_back({"Content-Length", std::to_string(answer.body_.size())});
+        e->start(answer.status_, headers);
+        e->more(answer.body_.substr(0, bytes), [this, e] {
+            // The other end reads what was written before the reset discards it.
+            timer& later = cuts_.emplace_back(loop_, [e] { e->abort(); });
+            later.arm(cut_delay);
+        });
     }
 
     void control(const exchange_ptr& e)
@@ -190,6 +233,7 @@
             return text.empty() ? now : std::stoull(text);
         };
         fail_percent_ = number("fail", fail_percent_);
+        fail_status_ = static_cast<int>(number("fail_status", static_cast<std::uint64_t>(fail_status_)));
         slow_ =
             std::chrono::milliseconds(number("slow_ms", static_cast<std::uint64_t>(slow_.count()) / 1000));
         draining_ = number("draining", draining_ ? 1 : 0) != 0;
@@ -211,7 +255,9 @@
     time_point warm_at_;
     std::map<std::uint64_t, run> runs_;
     std::uint64_t last_run_ = 0;
+    std::list<timer> cuts_;
     std::uint64_t fail_percent_ = 0;
+    int fail_status_ = 500;
     duration slow_{};
     bool draining_ = false;
     bool silent_ = false;
--- /dev/null
+++ b/tests/integration/whole_answers_test.cpp
@@ -0,0 +1,154 @@
+// A caller gets the whole answer to its own request, or sees that it did not.
+
+#include <gtest/gtest.h>
+
+#include "support/mesh.h"
+#include "support/raw_connection.h"
+
+namespace guavahaven {
+
+namespace {
+
+constexpr const char* rules = R"(
+class   lookup  deadline 60s         # office
+service board   version v1           # office
+route GET  /shifts/*   to board as lookup  # office
+)";
+
+constexpr std::size_t megabyte = 1024 * 1024;
+
+// The backend server stand-in repeats the target up to about this size.
+std::string expected_body(const std::string& target, std::size_t bytes)
+{
+    std::string body;
+    while (body.size() < bytes)
+        body += target;
+    return body;
+}
+
+// One backend server beside the first daemon; callers enter at the second.
+class whole_answers : public testing::Test {
+protected:
+    void SetUp() override
+    {
+        const support::finished applied = mesh_.apply(rules);
+        ASSERT_EQ(applied.status_, 0) << applied.output_;
+        ASSERT_TRUE(mesh_.wait_ready(1));
+    }
+
+    http::address entry() { return mesh_.at(1).callers(); }
+
+    support::mesh mesh_{{{{"leon", "board", "v1", {}}, {"leon", "other", "v1", {}}}, false}};
+};
+
+} // namespace
+
+TEST_F(whole_answers, caller_gets_the_whole_answer_to_its_own_request)
+{
+    // Given callers that ask for bodies of many sizes at the same time
+    std::vector<http::request> requests;
+    for (const std::size_t bytes :
+         {std::size_t{10}, 60 * std::size_t{1024}, 70 * std::size_t{1024}, megabyte, 5 * megabyte})
+        for (int i = 0; i < 4; ++i)
+            requests.push_back(
+                {"GET", "/shifts/" + std::to_string(i) + "?bytes=" + std::to_string(bytes), {}, ""});
+
+    // When their answers are under way together
+    const auto responses = support::fetch_all({entry()}, requests, requests.size(), std::chrono::seconds(20));
+
+    // Then each gets its own, byte for byte
+    ASSERT_EQ(responses.size(), requests.size());
+    for (const support::timed_response& r : responses) {
+        const std::string& target = requests[r.index_].target_;
+        SCOPED_TRACE(target);
+        ASSERT_TRUE(ok(r.response_));
+        const std::size_t bytes = std::stoul(http::query_parameter(target, "bytes"));
+        EXPECT_TRUE(value(r.response_).body_ == expected_body(target, bytes));
+    }
+}
+
+TEST_F(whole_answers, a_short_answer_that_was_cut_is_told_by_its_code)
+{
+    for (const char* chunked : {"", "&chunked=1"}) {
+        SCOPED_TRACE(chunked);
+        // Given a backend server that breaks off early in its answer
+        const std::string target = "/shifts/a?bytes=5000&cut=100" + std::string(chunked);
+
+        // When a caller asks
+        const auto r = support::fetch(entry(), {"GET", target, {}, ""}, std::chrono::seconds(15));
+
+        // Then it gets none of it, and a code that says so
+        ASSERT_TRUE(ok(r));
+        EXPECT_EQ(value(r).status_, 502);
+        EXPECT_EQ(value(r).body_.find("/shifts/a"), std::string::npos);
+    }
+}
+
+TEST_F(whole_answers, a_long_answer_that_was_cut_ends_without_its_end)
+{
+    int seen_cut = 0;
+    for (const char* protocol : {"HTTP/1.1", "HTTP/1.0"}) {
+        for (const char* chunked : {"", "&chunked=1"}) {
+            SCOPED_TRACE(std::string(protocol) + chunked);
+            // Given a backend server that breaks off late in a long answer
+            const std::string target = "/shifts/a?bytes=500000&cut=300000" + std::string(chunked);
+
+            // When a caller reads the answer to its end
+            support::raw_connection caller(entry());
+            ASSERT_TRUE(caller.send("GET " + target + " " + protocol + "\r\nHost: leon\r\n\r\n"));
+            ASSERT_TRUE(caller.wait_closed());
+
+            // Then what it got is neither as long as said nor ended by a last chunk; if
+            // the break was seen before the first part went out, a code says so
+            const std::string& got = caller.received();
+            if (got.find(" 502 ") != std::string::npos) {
+                EXPECT_NE(got.find("Guavahaven-Result: "), std::string::npos) << got;
+                continue;
+            }
+            ++seen_cut;
+            EXPECT_TRUE(got.starts_with(std::string(protocol) + " 200")) << got.substr(0, 100);
+            EXPECT_LT(got.size(), 400'000U);
+            EXPECT_FALSE(got.ends_with("0\r\n\r\n"));
+        }
+    }
+    EXPECT_GT(seen_cut, 0);
+}
+
+TEST_F(whole_answers, a_slow_caller_costs_a_bounded_amount_of_memory)
+{
+    // Given a backend server that is warm, so that several requests run there at once
+    const std::vector<http::request> warming(300, {"GET", "/shifts/warm", {}, ""});
+    support::fetch_all({entry()}, warming, 4);
+    const auto ask = [this](const std::string& target) {
+        support::raw_connection caller(entry());
+        EXPECT_TRUE(caller.send("GET " + target + " HTTP/1.1\r\nHost: leon\r\n\r\n"));
+        return caller;
+    };
+    // And the memory of both daemons when one caller has begun to read a long answer
+    constexpr std::size_t body = 30 * megabyte;
+    const std::string target = "/shifts/a?bytes=" + std::to_string(body);
+    support::raw_connection first = ask(target);
+    first.read_some(1000);
+    const double gate_before = mesh_.at(0).daemon_->resident_mb();
+    const double entry_before = mesh_.at(1).daemon_->resident_mb();
+
+    // When more callers ask for as much, read the beginning and then pause
+    std::vector<support::raw_connection> callers;
+    for (int i = 0; i < 4; ++i) {
+        callers.push_back(ask(target));
+        callers.back().read_some(1000);
+    }
+
+    // Then others are still served
+    EXPECT_TRUE(ok(support::fetch(entry(), {"GET", "/shifts/b", {}, ""})));
+    // And the daemons hold far less than the answers
+    constexpr double allowed_mb = 20;
+    EXPECT_LT(mesh_.at(0).daemon_->resident_mb() - gate_before, allowed_mb);
+    EXPECT_LT(mesh_.at(1).daemon_->resident_mb() - entry_before, allowed_mb);
+
+    // And a caller that goes on reading gets all of it
+    callers.front().read_some(body - callers.front().received().size() + 1);
+    EXPECT_GT(callers.front().received().size(), body);
+}
+
+} // namespace guavahaven
