--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -39,12 +39,14 @@
         if (m.state_ != member_state::alive || m.service_.empty() || out)
             continue;
         gate_state& g = gates_[m.name_];
-        if (g.name_.empty() || g.pool_ != pool_key{m.service_, m.version_}) {
+        const pool_key key{m.service_, m.version_};
+        if (g.name_.empty() || g.incarnation_ != m.incarnation_ || g.pool_ != key) {
             const std::uint32_t in_flight = g.in_flight_;
             g = {};
             g.in_flight_ = in_flight;
             g.name_ = m.name_;
-            g.pool_ = {m.service_, m.version_};
+            g.incarnation_ = m.incarnation_;
+            g.pool_ = key;
             g.first_seen_ = first_view ? now - ramp : now;
         }
         g.slots_ = std::max<std::uint32_t>(1, m.slots_);
@@ -167,6 +169,12 @@
     return chosen->name_;
 }
 
+incarnation balancer::incarnation_of(const daemon_name& gate) const
+{
+    const auto at = gates_.find(gate);
+    return at == gates_.end() ? incarnation() : at->second.incarnation_;
+}
+
 void balancer::began(const daemon_name& gate)
 {
     ++gates_[gate].in_flight_;
--- a/src/decide/balancer.h
+++ b/src/decide/balancer.h
@@ -41,6 +41,9 @@
                                       const std::set<daemon_name>& tried, random_engine& random,
                                       time_point now) const;
 
+    // Of the process that is announced under a name; zero if none is.
+    incarnation incarnation_of(const daemon_name& gate) const;
+
     // An attempt was sent, and has ended after this time.
     void began(const daemon_name& gate);
     void ended(const daemon_name& gate, attempt_end how, duration took, random_engine& random,
@@ -55,6 +58,7 @@
 
     struct gate_state {
         daemon_name name_;
+        incarnation incarnation_;
         pool_key pool_;
         std::uint32_t slots_ = 1;
         time_point first_seen_{};
--- a/src/decide/caller_protocol.h
+++ b/src/decide/caller_protocol.h
@@ -16,6 +16,8 @@
 inline constexpr std::string_view deadline_header = "Request-Timeout-Ms"; // time left
 inline constexpr std::string_view depth_header = "Call-Depth";
 inline constexpr std::string_view identity_header = "Request-Id";
+// Status of an earlier answer under the same idempotency key.
+inline constexpr std::string_view earlier_status_header = "Guavahaven-Earlier-Status";
 inline constexpr std::string_view result_header = "Guavahaven-Result"; // numbered result code
 // On a failed response: the entry next to the failure has done what retries
 // can. A backend server that passes the failure on passes this on too.
--- a/src/decide/entry.h
+++ b/src/decide/entry.h
@@ -146,6 +146,7 @@
     void try_elsewhere(request_state& r, time_point now, code why);
     // After an attempt that may have run.
     void settle_broken(request_state& r, time_point now, code why);
+    void tell_duplicate(request_state& r, time_point now, int earlier_status);
     // Spends a retry if the rule, the budget and the time allow one.
     bool may_retry(request_state& r, time_point now);
     void ask_fate(request_state& r, time_point now);
--- a/src/peer/message.h
+++ b/src/peer/message.h
@@ -10,6 +10,7 @@
 
 #include "decide/call.h"
 #include "decide/gossip.h"
+#include "decide/key_home.h"
 
 namespace guavahaven::peer {
 
@@ -28,7 +29,8 @@
     friend bool operator==(const hello&, const hello&) = default;
 };
 
-using message = std::variant<hello, decide::entry_to_gate, decide::gate_to_entry, decide::control_message>;
+using message = std::variant<hello, decide::entry_to_gate, decide::gate_to_entry, decide::control_message,
+                             decide::gate_to_gate>;
 
 // A message as a whole frame.
 std::string to_frame(const message& m);
