Hostile callers, calls that were never sent, a graceful stop of the entry

It notices a caller that closes while its request runs, which evhttp would only when it writes the answer: before, the test of the cancelled lookup failed after 5 s of waiting. A cut answer resets the connection by disconnecting the socket, since SO_LINGER alone leaves a plain end visible first.

A call given to a connection that never opened is told as refused, not as unknown: it was not sent. A daemon that stops closes each caller's connection with its next answer, and ends after the last byte.

--- a/src/base/http_server.cpp
+++ b/src/base/http_server.cpp
@@ -120,15 +120,21 @@
     detach();
     if (!connection)
         return;
-    const linger at_once{1, 0};
-    setsockopt(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)), SOL_SOCKET, SO_LINGER,
-               &at_once, sizeof at_once);
+    const sockaddr nowhere{AF_UNSPEC, {}};
+    connect(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)), &nowhere, sizeof nowhere);
     evhttp_connection_free(connection);
 }
 
+void exchange::drop()
+{
+    if (raw_)
+        evhttp_connection_free(evhttp_request_get_connection(raw_));
+}
+
 server::server(event_loop& loop, server_limits limits, handler h)
-    : handler_(std::move(h)), http_(evhttp_new(loop.base()))
+    : handler_(std::move(h)), connections_(loop, limits), http_(evhttp_new(loop.base()))
 {
+    evhttp_set_bevcb(http_.get(), &server::open_stream, this);
     evhttp_set_gencb(http_.get(), &server::received, this);
     evhttp_set_allowed_methods(http_.get(), static_cast<ev_uint16_t>(all_methods));
     evhttp_set_max_headers_size(http_.get(), static_cast<ev_ssize_t>(limits.header_bytes_));
@@ -152,9 +158,17 @@
     bound_ = nullptr;
 }
 
+bufferevent* server::open_stream(event_base* base, void* self)
+{
+    return static_cast<server*>(self)->connections_.open(base);
+}
+
 void server::received(evhttp_request* raw, void* self)
 {
-    static_cast<server*>(self)->handler_(std::make_shared<exchange>(raw));
+    auto& s = *static_cast<server*>(self);
+    auto e = std::make_shared<exchange>(raw);
+    s.connections_.arrived(evhttp_connection_get_bufferevent(evhttp_request_get_connection(raw)), e);
+    s.handler_(std::move(e));
 }
 
 } // namespace guavahaven::http
--- a/src/base/http_server.h
+++ b/src/base/http_server.h
@@ -7,17 +7,11 @@
 #include <string>
 
 #include "base/event_loop.h"
+#include "base/http_connections.h"
 #include "base/http_detail.h"
 
 namespace guavahaven::http {
 
-// Bounds on what a server takes from one connection.
-struct server_limits {
-    std::size_t header_bytes_ = 16 * 1024;
-    std::size_t body_bytes_ = 1024 * 1024;
-    std::chrono::seconds idle_{60};
-};
-
 // One request being answered by a server. The answer is sent whole with
 // reply(), or in parts with start(), more() and finish().
 class exchange {
@@ -28,6 +22,8 @@
     exchange& operator=(const exchange&) = delete;
 
     const request& received() const { return request_; }
+    // False once the answer was given whole, or the caller has gone.
+    bool open() const { return raw_ != nullptr; }
 
     void reply(const response& whole);
     void start(int status, const headers& all);
@@ -38,6 +34,9 @@
     // Resets the connection in mid-answer, so that the caller sees it is cut short.
     void abort();
 
+    // The caller has closed: ends the connection too, and calls the handler of on_gone().
+    void drop();
+
     // Called at most once, if the caller's connection closes first.
     void on_gone(std::function<void()> handler);
 
@@ -65,10 +64,15 @@
     // Takes no further connections; those that are open live on.
     void stop_listening();
 
+    // True if every answer that was given has left the process.
+    bool quiet() const { return connections_.quiet(); }
+
 private:
+    static bufferevent* open_stream(event_base* base, void* self);
     static void received(evhttp_request* raw, void* self);
 
     handler handler_;
+    connections connections_;
     std::unique_ptr<evhttp, detail::http_deleter> http_;
     evhttp_bound_socket* bound_ = nullptr;
 };
--- a/src/caller/door.cpp
+++ b/src/caller/door.cpp
@@ -15,6 +15,12 @@
     return server_.listen(at);
 }
 
+void door::stop()
+{
+    stopping_ = true;
+    server_.stop_listening();
+}
+
 void door::take_request(const std::shared_ptr<http::exchange>& e)
 {
     last_exchange_ = last_exchange_.next();
@@ -47,11 +53,14 @@
     if (at == exchanges_.end())
         return;
     open_exchange& to = at->second;
+    http::response r = a.response_;
+    if (stopping_)
+        r.headers_.push_back({"Connection", "close"});
     if (!a.complete_) {
-        to.exchange_->start(a.response_.status_, a.response_.headers_);
-        return give(a.exchange_, to, a.response_.body_);
+        to.exchange_->start(r.status_, r.headers_);
+        return give(a.exchange_, to, r.body_);
     }
-    to.exchange_->reply(a.response_);
+    to.exchange_->reply(r);
     exchanges_.erase(at);
 }
 
--- a/src/caller/door.h
+++ b/src/caller/door.h
@@ -21,10 +21,11 @@
          std::function<void(const daemon_name&, const decide::entry_to_gate&, bool fresh)> to_gate);
 
     status listen(const http::address& at);
-    void stop_listening() { server_.stop_listening(); }
+    // Takes no further connections, and closes each open one with its next answer.
+    void stop();
 
     void handle(const decide::entry_event& e);
-    bool busy() const { return entry_.busy(); }
+    bool busy() const { return entry_.busy() || !server_.quiet(); }
 
 private:
     struct open_exchange {
@@ -49,6 +50,7 @@
     http::server server_;
     std::map<decide::exchange_id, open_exchange> exchanges_;
     decide::exchange_id last_exchange_;
+    bool stopping_ = false;
     timer timer_;
     std::optional<time_point> armed_; // when the timer fires
 };
--- a/src/decide/entry.cpp
+++ b/src/decide/entry.cpp
@@ -252,7 +252,8 @@
 
 void entry::take(request_state& r, const refusal& m, time_point now)
 {
-    balancer_.reported(r.gate_, m.load_, now);
+    if (m.code_ != code::peer_unreachable) // it has come from the gate itself
+        balancer_.reported(r.gate_, m.load_, now);
     if (r.answering_)
         return;
     if (m.code_ == code::duplicate_request || m.code_ == code::suspect_request) {
--- a/src/main/daemon.cpp
+++ b/src/main/daemon.cpp
@@ -151,6 +151,9 @@
     void take(const peer::event& e)
     {
         if (const auto* gone = std::get_if<peer::lost>(&e)) {
+            for (const decide::call_id id : gone->unsent_)
+                mail_.post(to_entry{
+                    decide::gate_message{gone->daemon_, decide::refusal{id, code::peer_unreachable, {}, 0}}});
             mail_.post(to_entry{decide::gate_lost{gone->daemon_}});
             mail_.post(to_gate{decide::peer_gate_lost{gone->daemon_}});
             return;
@@ -248,7 +251,7 @@
             return;
         stop_began_ = clock_.now();
         log_info("daemon", "stopping");
-        caller_.stop_listening();
+        caller_.stop();
         backend_.handle(decide::stop_requested{});
         apply(control_.handle(decide::leave_requested{}, clock_.now()));
         stop_timer_.arm(leave_notice);
--- a/src/peer/mesh.cpp
+++ b/src/peer/mesh.cpp
@@ -76,7 +76,8 @@
 
 mesh::link* mesh::adopt(bufferevent* stream, const daemon_name& name, bool outgoing)
 {
-    auto owned = std::make_unique<link>(link{*this, {}, name, outgoing, false, clock_.now(), {}});
+    auto owned =
+        std::make_unique<link>(link{*this, {}, name, outgoing, false, clock_.now(), {}, !outgoing, {}});
     link* raw = owned.get();
     raw->stream_.reset(stream);
     bufferevent_setcb(stream, &mesh::on_read, nullptr, &mesh::on_event, raw);
@@ -110,9 +111,10 @@
     if (!over || fresh)
         over = open(to);
     if (!over) {
-        handler_(lost{to});
+        handler_(lost{to, {}});
         return;
     }
+    note_unsent(*over, m);
     write(*over, m);
 }
 
@@ -174,6 +176,10 @@
 void mesh::on_event(bufferevent*, short what, void* at)
 {
     auto& l = *static_cast<link*>(at);
+    if (what & BEV_EVENT_CONNECTED) {
+        l.connected_ = true;
+        l.unsent_.clear();
+    }
     if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT))
         l.owner_.close(&l);
 }
@@ -184,8 +190,18 @@
     l.carries_calls_ = l.carries_calls_ || is_call(m);
 }
 
+// Until the connection opens, nothing that is given to it leaves the process.
+void mesh::note_unsent(link& l, const message& m)
+{
+    const auto* to_gate = std::get_if<decide::entry_to_gate>(&m);
+    const auto* call = to_gate ? std::get_if<decide::call>(to_gate) : nullptr;
+    if (call && !l.connected_)
+        l.unsent_.push_back(call->id_);
+}
+
 void mesh::close(link* gone)
 {
+    std::vector<decide::call_id> unsent = std::move(gone->unsent_);
     const daemon_name name = gone->name_;
     const bool carried_calls = gone->carries_calls_;
     const auto named = by_name_.find(name);
@@ -198,7 +214,7 @@
             if (other->name_ == name)
                 by_name_.insert_or_assign(name, other);
     if (was_used || carried_calls)
-        handler_(lost{name});
+        handler_(lost{name, std::move(unsent)});
 }
 
 // A connection that a newer one replaced, or that nobody needs any more.
--- a/src/peer/mesh.h
+++ b/src/peer/mesh.h
@@ -27,6 +27,7 @@
 // The connection to a daemon is gone or could not be opened.
 struct lost {
     daemon_name daemon_;
+    std::vector<decide::call_id> unsent_; // calls of which not a byte left this process
 };
 using event = std::variant<received, lost>;
 
@@ -58,6 +59,8 @@
         bool carries_calls_ = false;
         time_point used_; // when a message last went or came
         frame_reader reader_;
+        bool connected_ = false;
+        std::vector<decide::call_id> unsent_; // calls that wait for the connection to open
     };
 
     static void on_accept(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self);
@@ -67,6 +70,7 @@
     link* open(const daemon_name& to);
     link* adopt(bufferevent* stream, const daemon_name& name, bool outgoing);
     void write(link& to, const message& m);
+    void note_unsent(link& l, const message& m);
     void note_use(link& l, const message& m);
     void take(link& from, message m);
     void close(link* gone);
--- a/tests/fakes/backend_server.cpp
+++ b/tests/fakes/backend_server.cpp
@@ -65,6 +65,7 @@
           warm_at_(clock_.now() + settings_.cold_), server_(loop, {}, [this](const auto& e) { receive(e); }),
           announcer_(loop, settings_.daemon_, 1, {code::peer_unreachable, ""}),
           callers_(loop, settings_.callers_, settings_.slots_, {code::peer_unreachable, ""}),
+          direct_(loop, {"127.0.0.1", settings_.port_}, settings_.slots_, {code::peer_unreachable, ""}),
           announce_timer_(loop, [this] { announce(); })
     {
     }
@@ -138,11 +139,13 @@
     {
         note("run", e->received());
         const std::uint64_t id = ++last_run_;
+        const std::string chain = http::find_header(e->received().headers_, "Call-Chain");
+        const bool ends_chain = chain.empty() || chain == "0";
         const bool on_path = fail_path_.empty() || fail_path_ == http::path_of(e->received().target_);
         run& r = runs_[id];
         r.exchange_ = e;
-        r.failing_ =
-            on_path && std::uniform_int_distribution<std::uint64_t>(1, 100)(random_) <= fail_percent_;
+        r.failing_ = on_path && ends_chain &&
+                     std::uniform_int_distribution<std::uint64_t>(1, 100)(random_) <= fail_percent_;
         e->on_gone([this, id] {
             const auto at = runs_.find(id);
             if (at == runs_.end())
@@ -189,11 +192,31 @@
         next.headers_ = http::end_to_end(received.headers_);
         std::erase_if(next.headers_, [](const http::header& h) { return h.name_ == "Call-Chain"; });
         next.headers_.push_back({"Call-Chain", std::to_string(left - 1)});
-        callers_.send(next, call_timeout, [this, id](const result<http::response>& r) {
-            finish(id, ok(r) ? passed_on(value(r)) : http::response{502, {}, ""});
+        const std::string tries = http::find_header(received.headers_, "Plain-Tries");
+        if (tries.empty())
+            callers_.send(next, call_timeout, [this, id](const auto& r) { finish_chain(id, r); });
+        else
+            call_plainly(id, next, std::stoi(tries));
+    }
+
+    // The plain choice that the daemons are measured against: straight to a
+    // backend server, and as often again as the header Plain-Tries says.
+    void call_plainly(std::uint64_t id, const http::request& next, int tries)
+    {
+        direct_.send(next, call_timeout, [this, id, next, tries](const result<http::response>& r) {
+            const bool failed = !ok(r) || value(r).status_ >= 500;
+            if (failed && tries > 1)
+                call_plainly(id, next, tries - 1);
+            else
+                finish_chain(id, r);
         });
     }
 
+    void finish_chain(std::uint64_t id, const result<http::response>& r)
+    {
+        finish(id, ok(r) ? passed_on(value(r)) : http::response{502, {}, ""});
+    }
+
     void finish(std::uint64_t id, http::response answer)
     {
         const auto at = runs_.find(id);
@@ -267,6 +290,7 @@
     http::server server_;
     http::client announcer_;
     http::client callers_;
+    http::client direct_; // this stand-in itself
     timer announce_timer_;
 };
 
--- /dev/null
+++ b/tests/integration/entry_lifecycle_test.cpp
@@ -0,0 +1,91 @@
+// Daemons come and go; callers notice nothing.
+
+#include <gtest/gtest.h>
+
+#include <thread>
+
+#include "support/mesh.h"
+#include "support/raw_connection.h"
+
+namespace guavahaven {
+
+namespace {
+
+constexpr const char* rules = R"(
+class   lookup  deadline 10s         # office
+class   confirm deadline 10s once    # supervisors
+service board   version v1           # office
+route GET  /shifts/*   to board as lookup  # office
+route POST /placements to board as confirm # supervisors
+)";
+
+} // namespace
+
+TEST(entry_lifecycle, a_gate_that_is_dead_costs_no_request_that_must_run_once)
+{
+    support::mesh mesh(
+        {{{"leon", "other", "v1", {}}, {"leon", "board", "v1", {}}, {"leon", "board", "v1", {}}}, false});
+    ASSERT_EQ(mesh.apply(rules).status_, 0);
+    ASSERT_TRUE(mesh.wait_ready(1));
+
+    // Given a gate that was killed a moment ago, so that others still count on it
+    mesh.at(1).daemon_->kill();
+
+    // When callers send requests that must run once
+    const std::vector<http::request> requests(40, {"POST", "/placements", {}, "maria"});
+    const auto responses = support::fetch_all({mesh.at(0).callers()}, requests, 2, std::chrono::seconds(10));
+
+    // Then all run at the other one: what could not be sent has surely not run
+    for (const support::timed_response& r : responses) {
+        ASSERT_TRUE(ok(r.response_));
+        EXPECT_EQ(value(r.response_).status_, 200) << value(r.response_).body_;
+    }
+}
+
+TEST(entry_lifecycle, a_stopping_daemon_finishes_its_callers_requests)
+{
+    support::mesh mesh({{{"leon", "other", "v1", {}}, {"leon", "board", "v1", {}}}, false});
+    ASSERT_EQ(mesh.apply(rules).status_, 0);
+    ASSERT_TRUE(mesh.wait_ready(1));
+    mesh.at(1).set_backend("slow_ms=1500");
+
+    // Given a request under way for a long answer, and another connection without one
+    support::raw_connection caller(mesh.at(0).callers());
+    ASSERT_TRUE(caller.send("GET /shifts/a?bytes=3000000 HTTP/1.1\r\nHost: leon\r\n\r\n"));
+    ASSERT_TRUE(support::wait_until([&] { return !mesh.journal().empty(); }));
+
+    // When its daemon is told to stop
+    int stopped = -1;
+    std::thread stopper([&] { stopped = mesh.at(0).daemon_->stop(); });
+
+    // Then the answer comes whole before the daemon ends
+    caller.wait_closed(std::chrono::seconds(20));
+    stopper.join();
+    EXPECT_EQ(stopped, 0);
+    EXPECT_NE(caller.received().find(" 200 "), std::string::npos);
+    EXPECT_NE(caller.received().find("Connection: close"), std::string::npos);
+    EXPECT_GT(caller.received().size(), 3'000'000U);
+}
+
+TEST(entry_lifecycle, a_caller_that_goes_away_cancels_its_request)
+{
+    support::mesh mesh({{{"leon", "other", "v1", {}}, {"leon", "board", "v1", {}}}, false});
+    ASSERT_EQ(mesh.apply(rules).status_, 0);
+    ASSERT_TRUE(mesh.wait_ready(1));
+    mesh.at(1).set_backend("slow_ms=8000");
+    const auto seen = [&](const std::string& event) {
+        const auto all = mesh.journal();
+        return std::any_of(all.begin(), all.end(), [&](const auto& e) { return e.event_ == event; });
+    };
+
+    // Given a lookup that runs for long
+    std::optional<support::raw_connection> caller(mesh.at(0).callers());
+    ASSERT_TRUE(caller->send("GET /shifts/a HTTP/1.1\r\nHost: leon\r\n\r\n"));
+    ASSERT_TRUE(support::wait_until([&] { return seen("run"); }));
+
+    // When its caller goes away, it is cancelled at the backend server
+    caller.reset();
+    EXPECT_TRUE(support::wait_until([&] { return seen("cancelled"); }, std::chrono::seconds(5)));
+}
+
+} // namespace guavahaven
--- a/tests/integration/whole_answers_test.cpp
+++ b/tests/integration/whole_answers_test.cpp
@@ -109,6 +109,7 @@
             EXPECT_TRUE(got.starts_with(std::string(protocol) + " 200")) << got.substr(0, 100);
             EXPECT_LT(got.size(), 400'000U);
             EXPECT_FALSE(got.ends_with("0\r\n\r\n"));
+            EXPECT_TRUE(caller.was_reset());
         }
     }
     EXPECT_GT(seen_cut, 0);
--- a/tests/support/raw_connection.cpp
+++ b/tests/support/raw_connection.cpp
@@ -43,7 +43,8 @@
 }
 
 raw_connection::raw_connection(raw_connection&& other) noexcept
-    : fd_(std::exchange(other.fd_, -1)), closed_(other.closed_), received_(std::move(other.received_))
+    : fd_(std::exchange(other.fd_, -1)), closed_(other.closed_), reset_(other.reset_),
+      received_(std::move(other.received_))
 {
 }
 
@@ -69,6 +70,7 @@
     const auto n = recv(fd_, bytes.data(), std::min(most, bytes.size()), 0);
     if (n <= 0) {
         closed_ = true;
+        reset_ = n < 0;
         return false;
     }
     received_.append(bytes.data(), static_cast<std::size_t>(n));
--- a/tests/support/raw_connection.h
+++ b/tests/support/raw_connection.h
@@ -28,7 +28,8 @@
     const std::string& read_some(std::size_t bytes, duration timeout = std::chrono::seconds(10));
     // True once the other end has closed or reset the connection.
     bool wait_closed(duration timeout = std::chrono::seconds(10));
-    bool closed() const { return closed_; }
+    // True if it was reset, so that nobody takes what came for whole.
+    bool was_reset() const { return reset_; }
     const std::string& received() const { return received_; }
 
 private:
@@ -36,6 +37,7 @@
 
     int fd_ = -1;
     bool closed_ = false;
+    bool reset_ = false;
     std::string received_;
 };
 
