--- a/src/backend/door.cpp
+++ b/src/backend/door.cpp
@@ -92,6 +92,7 @@
 void door::apply(const decide::start_run& a)
 {
     ++metrics_.counter("guavahaven_gate_runs_total");
+    last_run_ = static_cast<std::uint64_t>(clock_.wall().time_since_epoch().count());
     if (!backend_)
         return handle(decide::run_not_sent{a.run_});
     backend_->stream(a.run_.value(), a.request_, a.timeout_,
--- a/src/backend/door.h
+++ b/src/backend/door.h
@@ -41,6 +41,9 @@
 
     bool busy() const { return gate_.busy(); }
     const decide::gate& state() const { return gate_; }
+    // When the last run began, microseconds since 1970; 0 if none did.
+    std::uint64_t last_run() const { return last_run_; }
+    std::vector<decide::evidence> collect_evidence() { return gate_.collect_evidence(clock_.now()); }
 
 private:
     void take_response(decide::run_id run, http::response_event e);
@@ -64,6 +67,7 @@
     std::unique_ptr<http::client> backend_;
     std::vector<std::unique_ptr<http::client>> former_; // of other addresses, with requests under way
     http::address backend_address_;
+    std::uint64_t last_run_ = 0;
     std::uint32_t connections_ = 0;
     time_point last_announcement_{};
     bool present_ = false;
--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "base/guards.h"
+
 namespace guavahaven::decide {
 
 namespace {
@@ -35,8 +37,11 @@
     const bool first_view = gates_.empty();
     pools_.clear();
     for (const member& m : known.members_) {
-        const bool out = known.configuration_ && known.configuration_->find_out(m.data_center_);
-        if (m.state_ != member_state::alive || m.service_.empty() || out)
+        const bool out = known.configuration_ && known.configuration_->find_out(m.data_center_) &&
+                         guarded(guard::out_refusal);
+        const bool takes = m.state_ == member_state::alive ||
+                           (m.state_ == member_state::draining && !guarded(guard::drain_refusal));
+        if (!takes || m.service_.empty() || out)
             continue;
         gate_state& g = gates_[m.name_];
         const pool_key key{m.service_, m.version_};
--- a/src/decide/entry.cpp
+++ b/src/decide/entry.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "base/guards.h"
 #include "decide/routing.h"
 
 namespace guavahaven::decide {
@@ -102,8 +103,8 @@
     const double draw = random_share(random_);
     if (const move_rule* move = c.find_move(service)) {
         const move_fact* known = view_->find_move(move->id());
-        const move_fact fact = known ? *known : move_fact{};
-        if (draw < share_of(*move, fact))
+        // Without a fact the move has not begun, or a withdrawal is not yet known here.
+        if (known && draw < share_of(*move, *known))
             return move->version_;
     }
     if (const split_rule* split = c.find_split(service)) {
@@ -189,7 +190,9 @@
 void entry::on(const gate_message& e, time_point now)
 {
     const call_id id = std::visit([](const auto& m) { return m.id_; }, e.message_);
-    const auto at = attempts_.find(id);
+    auto at = attempts_.find(id);
+    if (at == attempts_.end() && !guarded(guard::call_match))
+        at = attempts_.begin();
     if (at == attempts_.end())
         return; // late: another attempt took over, or the caller has gone
     request_state& r = requests_.at(at->second);
@@ -300,6 +303,8 @@
     const bool costly = why == code::overloaded;
     if (costly ? !may_retry(r, now) : ++r.redirects_ > redirects_most)
         return fail(r, now, why);
+    if (why == code::version_withdrawn) // the gate learned of it first
+        r.call_.version_ = view_->configuration_->find_service(r.call_.service_)->version_;
     attempt(r, now, why);
 }
 
@@ -318,7 +323,7 @@
         return cut(r, now);
     close_attempt(r, r.expired_ ? attempt_end::dropped : attempt_end::failed, now);
     r.maybe_ran_ = true;
-    if (r.call_.once_)
+    if (r.call_.once_ && guarded(guard::unknown_outcome))
         return fail(r, now, code::outcome_unknown);
     if (!may_retry(r, now))
         return fail(r, now, why);
--- a/src/decide/failure_detector.cpp
+++ b/src/decide/failure_detector.cpp
@@ -27,6 +27,13 @@
     at->second.until_ = now + keep_choice;
 }
 
+void failure_detector::no_longer_chosen_by(const daemon_name& name, time_point now)
+{
+    const auto at = watched_.find(name);
+    if (at != watched_.end())
+        at->second.until_ = now;
+}
+
 void failure_detector::doubt(const daemon_name& name, time_point now)
 {
     const auto [at, fresh] = watched_.try_emplace(name);
--- a/src/decide/gate.cpp
+++ b/src/decide/gate.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "base/guards.h"
 #include "base/hash.h"
 
 namespace guavahaven::decide {
@@ -46,6 +47,13 @@
             limit_.value()};
 }
 
+std::vector<evidence> gate::collect_evidence(time_point now)
+{
+    if (!backend_ || !view_ || !view_->configuration_)
+        return {};
+    return evidence_.collect(*view_->configuration_, {backend_->service_, backend_->version_, load()}, now);
+}
+
 void gate::on(const backend_announced& e, time_point now)
 {
     const bool fresh = !backend_ || backend_->version_ != e.version_ || backend_->service_ != e.service_ ||
@@ -85,23 +93,28 @@
                e.message_);
 }
 
+bool gate::out() const
+{
+    return view_ && view_->configuration_ && view_->configuration_->find_out(data_center_);
+}
+
 code gate::admission(const call& c) const
 {
     if (stopping_)
         return code::draining;
     if (!backend_ || backend_->service_ != c.service_)
         return code::no_backend_server;
-    if (backend_->draining_)
+    if (backend_->draining_ && guarded(guard::drain_refusal))
         return code::draining;
     if (backend_->version_ != c.version_)
         return code::not_run;
     if (!view_ || !view_->configuration_)
         return code::starting;
-    if (view_->configuration_->find_out(data_center_))
+    if (out() && guarded(guard::out_refusal))
         return code::data_center_out;
     const move_rule* move = view_->configuration_->find_move(c.service_);
     const move_fact* fact = move ? view_->find_move(move->id()) : nullptr;
-    if (fact && fact->withdrawn_ && fact->version_ == c.version_)
+    if (fact && fact->withdrawn_ && fact->version_ == c.version_ && guarded(guard::withdrawn_refusal))
         return code::version_withdrawn;
     return code::ok;
 }
@@ -116,16 +129,16 @@
         return refuse(key, code::not_run, now);
     if (const code why = admission(c); why != code::ok)
         return refuse(key, why, now);
-    if (take_repeat(key, c, now))
+    if (guarded(guard::once_memory) && take_repeat(key, c, now))
         return;
 
     held_call held = make_held(key, c, now);
     if (too_late(held, now))
         return refuse(key, code::overloaded, now);
-    if (c.once_ && !remember_once(held))
+    if (c.once_ && !remember_once(held) && guarded(guard::once_memory))
         return refuse(key, code::overloaded, now);
     send(from, receipt{c.id_});
-    if (c.once_ && c.keyed_)
+    if (c.once_ && c.keyed_ && guarded(guard::once_memory))
         return claim_key(std::move(held), now);
     enqueue(std::move(held), now);
 }
@@ -233,6 +246,7 @@
     limit_.started(last_run_, running_.size());
     held.started_ = now;
     actions_.push_back(start_run{last_run_, held.call_.request_, held.deadline_ - now});
+    evidence_.run_started(last_run_, held.call_, *view_->configuration_, now);
     running_.emplace(last_run_, std::move(held));
 }
 
@@ -253,6 +267,7 @@
         if (held->call_.once_)
             return;
         actions_.push_back(abort_run{running->first});
+        evidence_.run_cancelled(running->first, now);
         limit_.ended(running->first);
         return end_run(running, 0, now);
     }
@@ -284,7 +299,7 @@
 {
     const auto say = [&](fate known) { send(from, fence_verdict{f.id_, started_, known}); };
     const call_key key{from, f.id_};
-    if (f.gate_ != started_)
+    if (f.gate_ != started_ && guarded(guard::unknown_outcome))
         return say(fate::unknown);
     if (const auto running = find_running(key); running != running_.end())
         return say(fate::running);
@@ -300,6 +315,7 @@
     const auto at = running_.find(e.run_);
     if (at == running_.end())
         return;
+    evidence_.run_answered(e.run_, e.response_.status_, e.complete_, now);
     held_call& held = at->second;
     const bool shed = e.response_.status_ == status_shed;
     if (shed)
@@ -320,9 +336,12 @@
     const auto at = running_.find(e.run_);
     if (at == running_.end())
         return;
+    if (e.complete_)
+        evidence_.run_completed(e.run_, now);
     held_call& held = at->second;
-    answer_all(held,
-               [&](call_id id) { return answer_part{id, held.window_.passed(), e.bytes_, e.complete_}; });
+    answer_all(held, [&](call_id id) {
+        return answer_part{id, held.window_.passed(), e.bytes_, e.complete_};
+    });
     if (e.complete_)
         return end_run(at, held.status_, now);
     held.window_.pass(e.bytes_.size());
@@ -334,6 +353,7 @@
     const auto at = running_.find(e.run_);
     if (at == running_.end())
         return;
+    evidence_.run_dropped(e.run_);
     const held_call held = std::move(at->second);
     running_.erase(at);
     limit_.cold_start(now);
@@ -346,6 +366,7 @@
     const auto at = running_.find(e.run_);
     if (at == running_.end())
         return;
+    evidence_.run_broken(e.run_, now);
     if (now >= at->second.deadline_)
         limit_.timed_out(e.run_, at->second.started_, now);
     else
@@ -366,9 +387,12 @@
     start_waiting(now);
 }
 
-void gate::on(const gate_view_changed& e, time_point)
+void gate::on(const gate_view_changed& e, time_point now)
 {
+    const bool was_out = out();
     view_ = e.view_;
+    if (was_out && !out())
+        limit_.cold_start(now); // what was warm there has cooled down
     const configuration_ptr& c = view_->configuration_;
     if (c && c->number_.value() == first_configuration && c->written_at_ > started_.value())
         registry_.set_complete();
--- a/src/decide/view.cpp
+++ b/src/decide/view.cpp
@@ -1,14 +1,18 @@
 #include "decide/view.h"
 
 #include <algorithm>
+
+#include "base/guards.h"
 #include <array>
 
 namespace guavahaven::decide {
 
 namespace {
 
-// Shares after the start share; each stage about doubles the exposure.
-constexpr std::array later_shares{0.05, 0.15, 0.40, 1.0};
+// Shares after the start share. The last one is watched: a tenth stays on the
+// old version, since only answers of the same moment tell a bad version from a
+// bad moment. A move that is done has the whole.
+constexpr std::array later_shares{0.05, 0.15, 0.40, 0.90};
 
 } // namespace
 
@@ -36,6 +40,7 @@
     joined.done_ = a.done_ || b.done_;
     joined.withdrawn_ = a.withdrawn_ || b.withdrawn_;
     joined.since_ = std::max(a.since_, b.since_);
+    joined.began_ = std::min(a.began_, b.began_);
     // Of two reasons the one that belongs to a withdrawal stands; of two such, the lesser text.
     if (a.withdrawn_ != b.withdrawn_)
         joined.reason_ = a.withdrawn_ ? a.reason_ : b.reason_;
@@ -51,7 +56,7 @@
 
 double share_of(const move_rule& rule, const move_fact& fact)
 {
-    if (fact.withdrawn_)
+    if (fact.withdrawn_ && guarded(guard::withdrawn_refusal))
         return 0.0;
     if (fact.done_)
         return 1.0;
--- a/tests/fakes/backend_server.cpp
+++ b/tests/fakes/backend_server.cpp
@@ -3,7 +3,8 @@
 // each run. Faults are switched on over its control path.
 //
 //   POST
-//   /control?fail=PERCENT&fail_status=N&slow_ms=N&fail_path=PATH&cold=0|1&draining=0|1&silent=0|1&crash_path=PATH
+//   /control?fail=PERCENT&fail_status=N&slow_ms=N&fail_path=PATH&only_above=N&cold=0|1&draining=0|1&silent=0|1&crash_path=PATH
+//     only_above: fail and slow_ms act for runs that find N others in flight, or more
 //   GET  /health
 //   any other path: a run. Header Call-Chain: N makes the run call PATH once
 //   more through its daemon, with N-1.
@@ -141,7 +142,9 @@
         const std::uint64_t id = ++last_run_;
         const std::string chain = http::find_header(e->received().headers_, "Call-Chain");
         const bool ends_chain = chain.empty() || chain == "0";
-        const bool on_path = fail_path_.empty() || fail_path_ == http::path_of(e->received().target_);
+        const bool busy = runs_.size() >= only_above_;
+        const bool on_path =
+            busy && (fail_path_.empty() || fail_path_ == http::path_of(e->received().target_));
         run& r = runs_[id];
         r.exchange_ = e;
         r.failing_ = on_path && ends_chain &&
@@ -260,6 +263,7 @@
         fail_status_ = static_cast<int>(number("fail_status", static_cast<std::uint64_t>(fail_status_)));
         slow_ =
             std::chrono::milliseconds(number("slow_ms", static_cast<std::uint64_t>(slow_.count()) / 1000));
+        only_above_ = number("only_above", only_above_);
         draining_ = number("draining", draining_ ? 1 : 0) != 0;
         silent_ = number("silent", silent_ ? 1 : 0) != 0;
         if (target.find("fail_path=") != std::string::npos)
@@ -283,6 +287,7 @@
     std::uint64_t fail_percent_ = 0;
     int fail_status_ = 500;
     duration slow_{};
+    std::uint64_t only_above_ = 0;
     bool draining_ = false;
     bool silent_ = false;
     std::string fail_path_;
--- a/tests/support/mesh.cpp
+++ b/tests/support/mesh.cpp
@@ -16,6 +16,13 @@
     return "127.0.0.1:" + std::to_string(port);
 }
 
+std::string read_file(const std::string& path)
+{
+    std::ostringstream text;
+    text << std::ifstream(path).rdbuf();
+    return text.str();
+}
+
 void write_file(const std::string& path, const std::string& text)
 {
     std::ofstream(path) << text;
@@ -73,11 +80,13 @@
 
 void node::start_daemon()
 {
-    daemon_.emplace("guavahaven-daemon", std::vector<std::string>{folder_ + "/daemon.ini"}, log_path());
+    daemon_.emplace(daemon_binary_, std::vector<std::string>{folder_ + "/daemon.ini"}, log_path());
 }
 
 void node::start_backend()
 {
+    if (plan_.service_.empty())
+        return;
     std::vector<std::string> arguments{"--port=" + std::to_string(backend_server_port_),
                                        "--daemon=" + local(backend_port_),
                                        "--callers=" + local(caller_port_),
@@ -113,6 +122,19 @@
     fetch(backend(), {"POST", "/control?" + query, {}, ""});
 }
 
+std::vector<journal_entry> node::journal() const
+{
+    std::vector<journal_entry> all;
+    std::ifstream in(journal_path());
+    for (std::string line; std::getline(in, line);) {
+        std::istringstream fields(line);
+        journal_entry e;
+        if (fields >> e.at_ >> e.event_ >> e.version_ >> e.identity_ >> e.method_ >> e.path_)
+            all.push_back(e);
+    }
+    return all;
+}
+
 mesh::mesh(const mesh_plan& plan)
     : folder_(scratch_folder()), platform_port_(free_port()), platform_control_port_(free_port()),
       proxy_control_port_(free_port())
@@ -124,9 +146,17 @@
     wait_until([this] { return !set_platform("").empty(); });
 
     std::vector<std::string> links{"--control=" + std::to_string(proxy_control_port_)};
+    if (plan.platform_proxy_)
+        for (const node_plan& p : plan.nodes_)
+            if (!platform_links_.contains(p.data_center_)) {
+                platform_links_[p.data_center_] = free_port();
+                links.push_back(std::to_string(platform_links_[p.data_center_]) + "=" +
+                                std::to_string(platform_port_));
+            }
     for (const node_plan& p : plan.nodes_) {
         node n;
         n.plan_ = p;
+        n.daemon_binary_ = plan.daemon_binary_;
         n.folder_ = scratch_folder();
         n.caller_port_ = free_port();
         n.peer_port_ = free_port();
@@ -134,16 +164,16 @@
         n.backend_port_ = free_port();
         n.operator_port_ = free_port();
         n.backend_server_port_ = free_port();
-        links.push_back(std::to_string(n.advertised_port_) + "=" + std::to_string(n.peer_port_));
-        write_file(n.folder_ + "/daemon.ini",
-                   "[daemon]\ndata_center = " + p.data_center_ + "\nip = 127.0.0.1\ncaller_port = " +
-                       std::to_string(n.caller_port_) + "\npeer_port = " + std::to_string(n.peer_port_) +
-                       "\nbackend_port = " + std::to_string(n.backend_port_) +
-                       "\noperator_port = " + std::to_string(n.operator_port_) + "\n[mesh]\nadvertised = " +
-                       local(n.advertised_port_) + "\n[platform]\naddress = " + local(platform_port_) + "\n");
+        if (plan.fault_proxy_)
+            links.push_back(std::to_string(n.advertised_port_) + "=" + std::to_string(n.peer_port_));
         nodes_.push_back(std::move(n));
     }
-    if (plan.fault_proxy_)
+    std::string seeds;
+    for (std::size_t i = 0; i < std::min(plan.settings_seeds_, nodes_.size()); ++i)
+        seeds += " " + nodes_[i].name();
+    for (const node& n : nodes_)
+        write_settings(n, seeds, plan.more_settings_);
+    if (plan.fault_proxy_ || plan.platform_proxy_)
         proxy_.emplace("fake-fault-proxy", links, folder_ + "/proxy.log");
     for (node& n : nodes_) {
         n.start_daemon();
@@ -151,12 +181,48 @@
     }
 }
 
-finished mesh::apply(const std::string& rules, const std::string& author)
+void mesh::write_settings(const node& n, const std::string& seeds, const std::string& more) const
+{
+    const auto link = platform_links_.find(n.plan_.data_center_);
+    const std::uint16_t platform_at = link == platform_links_.end() ? platform_port_ : link->second;
+    write_file(n.folder_ + "/daemon.ini",
+               "[daemon]\ndata_center = " + n.plan_.data_center_ + "\nip = 127.0.0.1\ncaller_port = " +
+                   std::to_string(n.caller_port_) + "\npeer_port = " + std::to_string(n.peer_port_) +
+                   "\nbackend_port = " + std::to_string(n.backend_port_) + "\noperator_port = " +
+                   std::to_string(n.operator_port_) + "\n[mesh]\nadvertised = " + local(n.advertised_port_) +
+                   "\nseeds =" + seeds + "\n[platform]\naddress = " + local(platform_at) + "\n" + more);
+}
+
+std::vector<std::string> mesh::apply_arguments(const std::string& rules, const std::string& author) const
 {
     const std::string path = scratch_folder() + "/rules";
     write_file(path, rules);
-    return run("guavahaven",
-               {"apply", path, "--platform=" + http::to_string(platform()), "--author=" + author});
+    return {"apply", path, "--platform=" + http::to_string(platform()), "--author=" + author};
+}
+
+finished mesh::apply(const std::string& rules, const std::string& author,
+                     const std::vector<std::string>& options)
+{
+    std::vector<std::string> arguments = apply_arguments(rules, author);
+    arguments.insert(arguments.end(), options.begin(), options.end());
+    return run("guavahaven", arguments);
+}
+
+operator_run mesh::start_apply(const std::string& rules, const std::string& author) const
+{
+    return {apply_arguments(rules, author), scratch_folder() + "/output"};
+}
+
+operator_run::operator_run(const std::vector<std::string>& arguments, const std::string& output)
+    : output_(output), process_("guavahaven", arguments, output)
+{
+}
+
+finished operator_run::finish()
+{
+    wait_until([this] { return !process_.running(); });
+    const int status = process_.running() ? -1 : process_.stop();
+    return {status, read_file(output_)};
 }
 
 bool mesh::wait_configuration(std::uint64_t number, duration timeout)
@@ -204,6 +270,12 @@
     return ok(r) ? value(r).body_ : "";
 }
 
+void mesh::restore_platform() const
+{
+    fetch({"127.0.0.1", platform_control_port_},
+          {"POST", "/restore?kind=configuration&name=current", {}, ""});
+}
+
 std::uint64_t mesh::platform_counter(const std::string& name) const
 {
     std::istringstream lines(set_platform(""));
@@ -219,17 +291,18 @@
           {"POST", "/set?port=" + std::to_string(n.advertised_port()) + "&" + query, {}, ""});
 }
 
+void mesh::set_platform_link(const std::string& data_center, const std::string& query) const
+{
+    fetch({"127.0.0.1", proxy_control_port_},
+          {"POST", "/set?port=" + std::to_string(platform_links_.at(data_center)) + "&" + query, {}, ""});
+}
+
 std::vector<journal_entry> mesh::journal() const
 {
     std::vector<journal_entry> all;
     for (const node& n : nodes_) {
-        std::ifstream in(n.journal_path());
-        for (std::string line; std::getline(in, line);) {
-            std::istringstream fields(line);
-            journal_entry e;
-            if (fields >> e.at_ >> e.event_ >> e.version_ >> e.identity_ >> e.method_ >> e.path_)
-                all.push_back(e);
-        }
+        const std::vector<journal_entry> own = n.journal();
+        all.insert(all.end(), own.begin(), own.end());
     }
     std::stable_sort(all.begin(), all.end(),
                      [](const journal_entry& a, const journal_entry& b) { return a.at_ < b.at_; });
