--- a/src/backend/door.cpp
+++ b/src/backend/door.cpp
@@ -93,18 +93,48 @@
 {
     ++metrics_.counter("guavahaven_gate_runs_total");
     last_run_ = static_cast<std::uint64_t>(clock_.wall().time_since_epoch().count());
-    const auto answered = [this, run = a.run_](const result<http::response>& r) {
-        if (!ok(r) && failure(r).code_ == code::backend_unreachable)
-            return handle(decide::run_not_sent{run});
-        if (!ok(r))
-            return handle(decide::run_broken{run});
-        http::response whole = value(r);
-        whole.headers_ = http::end_to_end(whole.headers_);
-        handle(decide::run_answered{run, std::move(whole), true});
-    };
     if (!backend_)
         return handle(decide::run_not_sent{a.run_});
-    backend_->send(a.run_.value(), a.request_, a.timeout_, answered);
+    backend_->stream(a.run_.value(), a.request_, a.timeout_,
+                     [this, run = a.run_](http::response_event e) { take_response(run, std::move(e)); });
+}
+
+void door::take_response(decide::run_id run, http::response_event event)
+{
+    std::visit(guavahaven::overloaded{
+                   [&](http::response_start& first) {
+                       http::response& r = first.response_;
+                       const std::string length = http::find_header(r.headers_, "Content-Length");
+                       r.headers_ = http::end_to_end(r.headers_);
+                       if (!first.complete_ && !length.empty())
+                           r.headers_.push_back({"Content-Length", length});
+                       handle(decide::run_answered{run, std::move(r), first.complete_});
+                   },
+                   [&](http::response_part& part) {
+                       handle(decide::run_continued{run, std::move(part.bytes_), part.complete_});
+                   },
+                   [&](const error& e) {
+                       if (e.code_ == code::backend_unreachable)
+                           handle(decide::run_not_sent{run});
+                       else
+                           handle(decide::run_broken{run});
+                   },
+               },
+               event);
+}
+
+void door::apply(const decide::pause_run& a)
+{
+    const auto turn = [&a](http::client& client) {
+        if (a.paused_)
+            client.pause(a.run_.value());
+        else
+            client.resume(a.run_.value());
+    };
+    if (backend_)
+        turn(*backend_);
+    for (const auto& client : former_)
+        turn(*client);
 }
 
 // Closing its connection tells the backend server.
--- a/src/backend/door.h
+++ b/src/backend/door.h
@@ -46,10 +46,12 @@
     std::vector<decide::evidence> collect_evidence() { return gate_.collect_evidence(clock_.now()); }
 
 private:
+    void take_response(decide::run_id run, http::response_event e);
     void take_announcement(http::exchange& e);
     void apply(decide::gate_actions actions);
     void apply(const decide::start_run& a);
     void apply(const decide::abort_run& a);
+    void apply(const decide::pause_run& a);
     void apply(const decide::send_to_entry& a);
     void apply(const decide::send_to_peer_gate& a);
     void connect(const http::address& at, std::uint32_t connections);
--- a/src/decide/gate.cpp
+++ b/src/decide/gate.cpp
@@ -83,6 +83,7 @@
     std::visit(guavahaven::overloaded{
                    [&](const call& c) { take_call(e.from_, c, now); },
                    [&](const cancel& c) { take_cancel(e.from_, c, now); },
+                   [&](const answer_taken& t) { take_progress(e.from_, t); },
                    [&](const fence& f) { take_fence(e.from_, f, now); },
                },
                e.message_);
@@ -169,7 +170,7 @@
     const bool shares = held && !held->answering_ && held->waiters_.size() < waiters_most &&
                         known->fingerprint_ == fingerprint(c.request_);
     if (shares) {
-        held->waiters_.push_back({key, false});
+        held->waiters_.push_back({key, false, 0});
         send(key.entry_, receipt{key.id_});
         return true;
     }
@@ -185,7 +186,7 @@
 held_call gate::make_held(const call_key& key, const call& c, time_point now) const
 {
     held_call held;
-    held.waiters_.push_back({key, false});
+    held.waiters_.push_back({key, false, 0});
     held.call_ = c;
     held.deadline_ = now + c.remaining_;
     const class_rule* rule = view_->configuration_->find_class(c.class_);
@@ -258,6 +259,8 @@
         return;
     for (held_call::waiter& w : held->waiters_)
         w.gone_ = w.gone_ || w.key_ == key;
+    if (const auto running = find_running(key); running != running_.end())
+        keep_window(running->first, running->second);
     if (!held->abandoned())
         return;
     if (const auto running = find_running(key); running != running_.end()) {
@@ -274,6 +277,25 @@
     give_up_claim(held->waiters_.front().key_, code::not_run, 0, now);
 }
 
+void gate::take_progress(const daemon_name& from, const answer_taken& t)
+{
+    const call_key key{from, t.id_};
+    const auto at = find_running(key);
+    if (at == running_.end())
+        return;
+    for (held_call::waiter& w : at->second.waiters_)
+        if (w.key_ == key)
+            w.taken_ = std::max(w.taken_, t.bytes_);
+    keep_window(at->first, at->second);
+}
+
+void gate::keep_window(run_id run, held_call& held)
+{
+    held.window_.take(held.taken_by_all());
+    if (held.window_.turned())
+        actions_.push_back(pause_run{run, held.window_.paused()});
+}
+
 void gate::take_fence(const daemon_name& from, const fence& f, time_point now)
 {
     const auto say = [&](fate known) { send(from, fence_verdict{f.id_, started_, known}); };
@@ -303,15 +325,13 @@
         limit_.answered(e.run_, held.call_.route_, now - held.started_, now);
     if (!shed)
         suspects_.answered(fingerprint(held.call_.request_), now);
-    // What may be repeated is better sent elsewhere than told that this server is busy.
-    if (shed && e.complete_ && !held.call_.once_)
-        answer_all(held, [&](call_id id) { return broken{id, code::backend_failed, load()}; });
-    else
-        answer_all(held, [&](call_id id) { return answer{id, load(), e.response_, e.complete_}; });
+    answer_all(held, [&](call_id id) { return answer{id, load(), e.response_, e.complete_}; });
     if (e.complete_)
         return end_run(at, e.response_.status_, now);
     held.answering_ = true;
     held.status_ = e.response_.status_;
+    held.window_.pass(e.response_.body_.size());
+    keep_window(at->first, held);
 }
 
 void gate::on(const run_continued& e, time_point now)
@@ -321,9 +341,14 @@
         return;
     if (e.complete_)
         evidence_.run_completed(e.run_, now);
-    answer_all(at->second, [&](call_id id) { return answer_part{id, e.bytes_, e.complete_}; });
+    held_call& held = at->second;
+    answer_all(held, [&](call_id id) {
+        return answer_part{id, held.window_.passed(), e.bytes_, e.complete_};
+    });
     if (e.complete_)
-        end_run(at, at->second.status_, now);
+        return end_run(at, held.status_, now);
+    held.window_.pass(e.bytes_.size());
+    keep_window(at->first, held);
 }
 
 void gate::on(const run_not_sent& e, time_point now)
--- a/src/decide/gate.h
+++ b/src/decide/gate.h
@@ -99,6 +99,12 @@
     run_id run_;
     friend bool operator==(const abort_run&, const abort_run&) = default;
 };
+// Stop reading its answer, or go on.
+struct pause_run {
+    run_id run_;
+    bool paused_ = true;
+    friend bool operator==(const pause_run&, const pause_run&) = default;
+};
 struct send_to_entry {
     daemon_name to_;
     gate_to_entry message_;
@@ -110,7 +116,7 @@
     bool fresh_connection_ = false; // do not trust the connection that is open
     friend bool operator==(const send_to_peer_gate&, const send_to_peer_gate&) = default;
 };
-using gate_action = std::variant<start_run, abort_run, send_to_entry, send_to_peer_gate>;
+using gate_action = std::variant<start_run, abort_run, pause_run, send_to_entry, send_to_peer_gate>;
 using gate_actions = std::vector<gate_action>;
 
 class gate {
@@ -160,6 +166,8 @@
 
     void take_call(const daemon_name& from, const call& c, time_point now);
     void take_cancel(const daemon_name& from, const cancel& c, time_point now);
+    void take_progress(const daemon_name& from, const answer_taken& t);
+    void keep_window(run_id run, held_call& held);
     void take_fence(const daemon_name& from, const fence& f, time_point now);
     // True if the attempt has come before, and has been dealt with.
     bool take_again(const call_key& key);
--- a/src/decide/held_call.h
+++ b/src/decide/held_call.h
@@ -7,6 +7,7 @@
 
 #include "decide/call.h"
 #include "decide/configuration.h"
+#include "decide/flow_window.h"
 
 namespace guavahaven::decide {
 
@@ -25,6 +26,7 @@
     struct waiter {
         call_key key_;
         bool gone_ = false;
+        std::uint64_t taken_ = 0; // bytes of the answer's body
         friend bool operator==(const waiter&, const waiter&) = default;
     };
 
@@ -38,11 +40,21 @@
     std::vector<daemon_name> homes_; // that were asked to record its idempotency key
     bool answering_ = false;         // a part of the answer has been passed on
     int status_ = 0;                 // of that answer
+    flow_window window_;             // of that answer
 
     bool waited_for_by(const call_key& key) const
     {
         return std::any_of(waiters_.begin(), waiters_.end(), [&](const waiter& w) { return w.key_ == key; });
     }
+    // Bytes of the answer that the slowest of those who wait has taken.
+    std::uint64_t taken_by_all() const
+    {
+        std::uint64_t least = window_.passed();
+        for (const waiter& w : waiters_)
+            if (!w.gone_)
+                least = std::min(least, w.taken_);
+        return least;
+    }
     bool abandoned() const
     {
         return std::all_of(waiters_.begin(), waiters_.end(), [](const waiter& w) { return w.gone_; });
