--- a/src/base/http_server.cpp
+++ b/src/base/http_server.cpp
@@ -121,7 +121,8 @@
     if (!connection)
         return;
     const sockaddr nowhere{AF_UNSPEC, {}};
-    connect(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)), &nowhere, sizeof nowhere);
+    const evutil_socket_t fd = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+    static_cast<void>(connect(fd, &nowhere, sizeof nowhere)); // if it fails, the close below still ends it
     evhttp_connection_free(connection);
 }
 
--- a/src/decide/gate_keys.cpp
+++ b/src/decide/gate_keys.cpp
@@ -42,7 +42,10 @@
     // key has run is not known, and so "not run" can't be said.
     if (c.held_.homes_.size() == c.homes_.size())
         return give_up_claim(key, code::outcome_unknown, 0, now);
-    c.held_.homes_.push_back(c.homes_[c.held_.homes_.size()]);
+    const daemon_name home = c.homes_[c.held_.homes_.size()];
+    c.held_.homes_.push_back(home);
+    if (view_->gone(home))
+        return ask_next_home(key, now); // no time is lost on it
     c.asked_ = now;
     c.asked_again_ = false;
     ask(c, false, now);
--- a/src/decide/key_home.cpp
+++ b/src/decide/key_home.cpp
@@ -11,11 +11,6 @@
 constexpr duration recent_start = std::chrono::minutes(2);
 constexpr duration remember_claim = std::chrono::minutes(30); // whose outcome is never heard
 
-bool may_be_alive(const member& m)
-{
-    return m.state_ != member_state::left && m.state_ != member_state::dead;
-}
-
 // The entry numbers its attempts in order and makes the next one only when the
 // last has surely not run.
 bool same_request_later(const key_claim& claim, const known_run& known)
@@ -31,8 +26,7 @@
 {
     std::vector<daemon_name> ranked;
     for (const member& m : v.members_)
-        if (may_be_alive(m))
-            ranked.push_back(m.name_);
+        ranked.push_back(m.name_);
     const std::size_t count = std::min(homes_per_key, ranked.size());
     std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count), ranked.end(),
                       [&](const daemon_name& a, const daemon_name& b) {
--- a/src/decide/key_home.h
+++ b/src/decide/key_home.h
@@ -56,8 +56,10 @@
 std::size_t grants_needed(std::size_t homes);
 
 // The daemons that keep a key, in the order in which they are asked. They are
-// ranked among all members that may be alive, whatever their service, version
-// and load, so that moves and limits don't shift a key.
+// ranked among all members that are known, whatever their service, version and
+// load, so that moves and limits don't shift a key. Those that have died or
+// left of late keep their places: two newcomers in place of two homes that were
+// lost together would know nothing of the key, and grant it again.
 std::vector<daemon_name> key_homes(const view& v, const std::string& identity);
 
 // What a daemon records as a home.
--- a/src/decide/view.h
+++ b/src/decide/view.h
@@ -75,6 +75,8 @@
     std::vector<returning_data_center> returning_;
 
     const move_fact* find_move(move_id id) const;
+    // True for a daemon that is known to have died or left.
+    bool gone(const daemon_name& name) const;
 };
 using view_ptr = std::shared_ptr<const view>;
 
--- a/tests/decide/key_home_test.cpp
+++ b/tests/decide/key_home_test.cpp
@@ -61,6 +61,23 @@
     }
 }
 
+TEST(key_home, stays_with_daemons_that_have_just_died)
+{
+    // Given a key that two of its homes have granted
+    decide::view v = view_of({"a", "b", "c", "d", "e", "f"});
+    const auto homes = key_homes(v, "key");
+
+    // When both are declared dead, or leave, at once
+    for (const decide::member_state gone : {decide::member_state::dead, decide::member_state::left}) {
+        for (decide::member& m : v.members_)
+            if (m.name_ == homes[0] || m.name_ == homes[1])
+                m.state_ = gone;
+
+        // Then no daemon without their records takes their places while they are known
+        EXPECT_EQ(key_homes(v, "key"), homes);
+    }
+}
+
 TEST(key_home, grants_a_key_to_one_request_only)
 {
     decide::key_registry home{time_point()};
