Limit rules are kept over the fleet, by the gates

Cause: a limit line was checked and explained, but nothing kept it. Ruled out: parts by entries (a limit of 100 over 1,200 entries leaves most of them none); a counter in the platform (its rates grow more slowly than the fleet). Change: each gate admits its part of the limit; the parts of all known gates of the service make the limit; E416 is a refusal before the run, and another gate may still have an unused part.

--- a/src/decide/call_queue.cpp
+++ b/src/decide/call_queue.cpp
@@ -126,6 +126,12 @@
     return nullptr;
 }
 
+std::size_t call_queue::count_of(const class_name& name) const
+{
+    const auto at = lanes_.find(name);
+    return at == lanes_.end() ? 0 : at->second.calls_.size();
+}
+
 std::size_t call_queue::ahead_of(shed_order shed) const
 {
     std::size_t count = 0;
--- a/src/decide/call_queue.h
+++ b/src/decide/call_queue.h
@@ -33,6 +33,7 @@
 
     // Calls that would go before one of this shed order.
     std::size_t ahead_of(shed_order shed) const;
+    std::size_t count_of(const class_name& name) const;
     std::size_t size() const { return size_; }
     bool empty() const { return size_ == 0; }
 
--- a/src/decide/entry.cpp
+++ b/src/decide/entry.cpp
@@ -38,6 +38,8 @@
 // What a refusal says of the gate.
 attempt_end end_of(code refused)
 {
+    if (refused == code::limit_reached)
+        return attempt_end::dropped;
     return refused == code::overloaded || refused == code::deadline_exceeded ? attempt_end::refused
                                                                              : attempt_end::unreachable;
 }
--- a/src/decide/gate.cpp
+++ b/src/decide/gate.cpp
@@ -57,6 +57,8 @@
     if (fresh)
         limit_.cold_start(now);
     backend_ = e;
+    if (fresh)
+        divide_limits(now);
     backend_start_ = e.start_;
     if (!e.draining_)
         return;
@@ -134,6 +136,9 @@
     held_call held = make_held(key, c, now);
     if (too_late(held, now))
         return refuse(key, code::overloaded, now);
+    const auto count = [this](const std::optional<class_name>& of) { return held_count(of); };
+    if (!limiter_.admit(c.class_, count, now))
+        return refuse(key, code::limit_reached, now);
     if (c.once_ && !remember_once(held) && guarded(guard::once_memory))
         return refuse(key, code::overloaded, now);
     send(from, receipt{c.id_});
@@ -142,6 +147,23 @@
     enqueue(std::move(held), now);
 }
 
+void gate::divide_limits(time_point now)
+{
+    if (view_ && backend_)
+        limiter_.set_view(*view_, backend_->service_, self_, now);
+}
+
+std::size_t gate::held_count(const std::optional<class_name>& of) const
+{
+    if (!of)
+        return claiming_.size() + waiting_.size() + running_.size();
+    const auto claims = std::count_if(claiming_.begin(), claiming_.end(),
+                                      [&](const auto& c) { return c.second.held_.call_.class_ == *of; });
+    const auto runs = std::count_if(running_.begin(), running_.end(),
+                                    [&](const auto& r) { return r.second.call_.class_ == *of; });
+    return static_cast<std::size_t>(claims + runs) + waiting_.count_of(*of);
+}
+
 bool gate::take_again(const call_key& key)
 {
     if (find_held(key)) {
@@ -401,6 +423,7 @@
 {
     const bool was_out = out();
     view_ = e.view_;
+    divide_limits(now);
     if (was_out && !out())
         limit_.cold_start(now); // what was warm there has cooled down
     const configuration_ptr& c = view_->configuration_;
--- a/src/decide/gate.h
+++ b/src/decide/gate.h
@@ -11,6 +11,7 @@
 #include <variant>
 #include <vector>
 
+#include "decide/call_limiter.h"
 #include "decide/call_memory.h"
 #include "decide/call_queue.h"
 #include "decide/concurrency_limit.h"
@@ -178,6 +179,9 @@
     bool out() const;
     // The reason why a call is not admitted; code::ok if it is.
     code admission(const call& c) const;
+    void divide_limits(time_point now);
+    // Calls that are claiming, waiting or running here, of a class or of all.
+    std::size_t held_count(const std::optional<class_name>& of) const;
     held_call make_held(const call_key& key, const call& c, time_point now) const;
     bool remember_once(const held_call& held);
 
@@ -223,6 +227,7 @@
     std::optional<backend_announced> backend_;
     bool stopping_ = false;
     concurrency_limit limit_;
+    call_limiter limiter_;
     run_id last_run_;
     std::map<run_id, held_call> running_;
     call_queue waiting_;
