--- a/src/decide/entry.cpp
+++ b/src/decide/entry.cpp
@@ -222,7 +222,7 @@
     const bool settled = r.call_.once_ || !m.complete_ || !shed ||
                          !http::find_header(m.response_.headers_, retried_header).empty();
     if (!settled && may_retry(r, now)) {
-        close_attempt(r, attempt_end::refused, now);
+        close_attempt(r, attempt_end::failed, now);
         r.maybe_ran_ = true;
         return attempt(r, now, code::backend_failed);
     }
@@ -233,9 +233,7 @@
     set_header(whole.headers_, result_header, "0");
     if (failed(whole))
         set_header(whole.headers_, retried_header, "1");
-    const attempt_end how = shed            ? attempt_end::refused
-                            : failed(whole) ? attempt_end::failed
-                                            : attempt_end::answered;
+    const attempt_end how = failed(whole) ? attempt_end::failed : attempt_end::answered;
     actions_.push_back(reply{r.exchange_, std::move(whole), m.complete_});
     if (!m.complete_)
         return wake_at(r, r.deadline_);
--- a/tests/decide/entry_test.cpp
+++ b/tests/decide/entry_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <deque>
+
 #include "operator/rules.h"
 
 namespace guavahaven::decide {
@@ -297,4 +299,35 @@
     EXPECT_FALSE(entry_.next_due());
 }
 
+TEST_F(entry_story, a_backend_server_that_only_sheds_gets_few_calls)
+{
+    // Given one of three gates whose backend server answers 503 to all, and at
+    // once, while the others take 6 ms and so always have calls under way
+    const daemon_name shedding("10.0.0.1:1");
+    constexpr std::uint64_t calls = 600;
+    constexpr std::size_t under_way = 6;
+    std::uint64_t asked_of_it = 0;
+    std::deque<send_to_gate> open;
+    for (std::uint64_t i = 1; i <= calls; ++i) {
+        send_to_gate at = ask(exchange_id(i), "GET", "/shifts/1");
+        bool sent_on = true;
+        while (sent_on && at.to_ == shedding) {
+            ++asked_of_it;
+            from_gate(at, answer{id_of(at), {0, 0, 12}, {503, {}, "busy"}, true});
+            sent_on = sent_again();
+            if (sent_on)
+                at = sent();
+        }
+        if (sent_on)
+            open.push_back(at);
+        advance(std::chrono::milliseconds(1));
+        if (open.size() > under_way) {
+            from_gate(open.front(), answer{id_of(open.front()), {3, 0, 12}, {200, {}, "x"}, true});
+            open.pop_front();
+        }
+    }
+    // Then its quick answers draw no calls to it
+    EXPECT_LT(asked_of_it, calls / 10);
+}
+
 } // namespace guavahaven::decide
