--- a/tests/support/demo/main.cpp
+++ b/src/main/demo/main.cpp
@@ -8,8 +8,8 @@
 #include <iostream>
 #include <sstream>
 
-#include "support/demo/rules.h"
-#include "support/demo/tally.h"
+#include "main/demo/rules.h"
+#include "main/demo/tally.h"
 
 namespace {
 
@@ -140,7 +140,8 @@
 
     void move_version()
     {
-        const std::string line = "move placement-desk to v42 by " + demo::utc_in(move_seconds) +
+        const std::string line = "move placement-desk to v42 by " +
+                                 support::utc_in(std::chrono::seconds(move_seconds)) +
                                  " from 10% # release desk: new matching";
         if (!apply(demo::with_line(rules_, line), "'" + line + "'"))
             return;
--- a/tests/support/demo/rules.cpp
+++ b/src/main/demo/rules.cpp
@@ -1,6 +1,5 @@
-#include "support/demo/rules.h"
+#include "main/demo/rules.h"
 
-#include <ctime>
 #include <sstream>
 
 namespace guavahaven::demo {
@@ -23,14 +22,4 @@
     return rules + line + "\n";
 }
 
-std::string utc_in(int seconds)
-{
-    const std::time_t at = std::time(nullptr) + seconds;
-    std::tm fields{};
-    gmtime_r(&at, &fields);
-    char text[32];
-    const std::size_t length = std::strftime(text, sizeof text, "%Y-%m-%dT%H:%M:%SZ", &fields);
-    return {text, length};
-}
-
 } // namespace guavahaven::demo
--- a/tests/support/demo/rules.h
+++ b/src/main/demo/rules.h
@@ -14,7 +14,4 @@
 // The text with a further line.
 std::string with_line(const std::string& rules, const std::string& line);
 
-// A moment some seconds from now, as a rules file writes it.
-std::string utc_in(int seconds);
-
 } // namespace guavahaven::demo
--- a/tests/support/demo/tally.cpp
+++ b/src/main/demo/tally.cpp
@@ -1,4 +1,4 @@
-#include "support/demo/tally.h"
+#include "main/demo/tally.h"
 
 namespace guavahaven::demo {
 
--- a/tests/support/mesh.cpp
+++ b/tests/support/mesh.cpp
@@ -1,6 +1,7 @@
 #include "support/mesh.h"
 
 #include <algorithm>
+#include <ctime>
 #include <fstream>
 #include <sstream>
 #include <thread>
@@ -78,6 +79,16 @@
     return true;
 }
 
+std::string utc_in(std::chrono::seconds from_now)
+{
+    const std::time_t at = std::chrono::system_clock::to_time_t(std::chrono::system_clock::now() + from_now);
+    std::tm fields{};
+    gmtime_r(&at, &fields);
+    char text[32];
+    const std::size_t length = std::strftime(text, sizeof text, "%Y-%m-%dT%H:%M:%SZ", &fields);
+    return {text, length};
+}
+
 void node::start_daemon()
 {
     daemon_.emplace(daemon_binary_, std::vector<std::string>{folder_ + "/daemon.ini"}, log_path());
--- a/tests/support/mesh.h
+++ b/tests/support/mesh.h
@@ -24,6 +24,9 @@
 // Waits until a condition holds; false if it did not within the time.
 bool wait_until(const std::function<bool()>& condition, duration timeout = std::chrono::seconds(30));
 
+// A moment some seconds from now, as a rules file writes it.
+std::string utc_in(std::chrono::seconds from_now);
+
 // Requests sent side by side from one thread, in the order of their ends.
 struct timed_response {
     std::size_t index_ = 0; // of the request
