--- a/src/backend/door.cpp
+++ b/src/backend/door.cpp
@@ -1,33 +1,19 @@
 #include "backend/door.h"
 
-#include <charconv>
-
-#include "base/hash.h"
 #include "base/log.h"
+#include "decide/caller_protocol.h"
 
 namespace guavahaven::backend {
 
 namespace {
 
 constexpr duration tick_interval = std::chrono::milliseconds(20);
-constexpr std::uint32_t slots_most = 100'000;
-
-std::optional<std::uint32_t> parameter_number(const std::string& target, const std::string& name)
-{
-    const std::string text = http::query_parameter(target, name);
-    std::uint32_t number = 0;
-    const char* end = text.data() + text.size();
-    const auto [stop, failed] = std::from_chars(text.data(), end, number);
-    if (text.empty() || failed != std::errc() || stop != end || number == 0 || number > slots_most)
-        return {};
-    return number;
-}
-
+constexpr duration answer_slack = std::chrono::milliseconds(30); // for an answer that is made at its deadline
 } // namespace
 
 door::door(event_loop& loop, metrics& counts, const settings& s, decide::gate decisions, outlets out)
     : loop_(loop), metrics_(counts), settings_(s), gate_(std::move(decisions)), out_(std::move(out)),
-      server_(loop, {}, [this](const std::shared_ptr<http::exchange>& e) { take_announcement(*e); }),
+      server_(loop, {}, [this](const std::shared_ptr<http::exchange>& e) { take_statement(*e); }),
       timer_(loop, [this] { tick(); })
 {
     timer_.arm(tick_interval);
@@ -38,30 +24,59 @@
     return server_.listen(settings_.listen_);
 }
 
-void door::take_announcement(http::exchange& e)
-{
-    const std::string& target = e.received().target_;
-    const auto port = parameter_number(target, "port");
-    const auto slots = parameter_number(target, "slots");
-    const auto connections = parameter_number(target, "connections");
-    const service_name service(http::query_parameter(target, "service"));
-    const version_name version(http::query_parameter(target, "version"));
-    const bool valid = http::path_of(target) == "/announce" && port && *port <= 65'535 && slots &&
-                       connections && !service.empty() && !version.empty();
-    if (!valid)
-        return e.reply(
-            {400, {}, to_string(error{code::request_malformed, "not a valid announcement"}) + "\n"});
-
-    connect({settings_.listen_.ip_, static_cast<std::uint16_t>(*port)}, *connections);
-    const bool draining = http::query_parameter(target, "state") == "draining";
-    if (!present_)
-        log_info("backend", "announced", "service=" + service.str() + " version=" + version.str());
+void door::take_statement(http::exchange& e)
+{
+    const result<statement> read = settings_.protocol_.read_(e.received(), settings_.listen_);
+    if (!ok(read)) {
+        log_warning("backend", "announcement_refused", "error=" + to_string(failure(read)));
+        return e.reply({400, {}, to_string(failure(read)) + "\n"});
+    }
+    std::visit([this](const auto& s) { take(s); }, value(read));
+    e.reply(settings_.protocol_.taken_);
+}
+
+// Announcements can be overtaken by later ones, also by those of a later
+// instance at the same address; and none revives an instance that has left.
+bool door::is_late(const announcement& a) const
+{
+    if (!announced_)
+        return false;
+    if (a.instance_ == announced_->instance_ && a.started_at_ == announced_->started_at_)
+        return a.sequence_ != 0 && a.sequence_ <= announced_->sequence_;
+    return a.started_at_ < announced_->started_at_;
+}
+
+void door::take(const announcement& a)
+{
+    if (is_late(a))
+        return log_info("backend", "announcement_late",
+                        "instance=" + a.instance_ + " sequence=" + std::to_string(a.sequence_));
+    const bool same_start = announced_ && !a.instance_.empty() && a.instance_ == announced_->instance_ &&
+                            a.started_at_ == announced_->started_at_;
+    const bool draining = a.draining_ || (same_start && announced_->draining_);
+    if (!present_ || !same_start || draining != announced_->draining_)
+        log_info("backend", "announced",
+                 "service=" + a.service_.str() + " version=" + a.version_.str() + " instance=" + a.instance_ +
+                     " sequence=" + std::to_string(a.sequence_) + (draining ? " draining" : "") +
+                     (a.cold_left_ ? " cold_left_ms=" + std::to_string(a.cold_left_->count() / 1000) : ""));
+    connect(a.address_, a.connections_);
+    announced_ = a;
+    announced_->draining_ = draining;
     present_ = true;
     last_announcement_ = clock_.now();
-    const std::uint64_t start = hash(http::query_parameter(target, "start"));
-    handle(decide::backend_announced{service, version, *slots, *connections, draining, start});
-    out_.announced_({service, version, *slots, draining});
-    e.reply({200, {}, ""});
+    handle(decide::backend_announced{a.service_, a.version_, a.slots_, a.connections_, draining, a.start_,
+                                     a.instance_, a.cold_left_});
+    out_.announced_({a.service_, a.version_, a.slots_, draining});
+}
+
+void door::take(const farewell& f)
+{
+    if (!announced_ || announced_->instance_ != f.instance_ || !present_)
+        return;
+    announcement last = *announced_;
+    last.draining_ = true;
+    ++last.sequence_;
+    take(last);
 }
 
 // Requests that are under way at another address end there.
@@ -73,9 +88,9 @@
         former_.push_back(std::move(backend_));
     backend_address_ = at;
     connections_ = connections;
-    backend_ = std::make_unique<http::client>(loop_, at, connections,
-                                              error{code::backend_unreachable, http::to_string(at)},
-                                              error{code::answer_incomplete, http::to_string(at)});
+    backend_ = std::make_unique<http::client>(
+        loop_, at, connections, error{code::backend_unreachable, http::to_string(at)},
+        error{code::answer_incomplete, http::to_string(at)}, settings_.protocol_.responses_);
 }
 
 void door::handle(const decide::gate_event& e)
@@ -95,7 +110,11 @@
     last_run_ = static_cast<std::uint64_t>(clock_.wall().time_since_epoch().count());
     if (!backend_)
         return handle(decide::run_not_sent{a.run_});
-    backend_->stream(a.run_.value(), a.request_, a.timeout_,
+    http::request request = a.request_;
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(a.timeout_);
+    decide::set_header(request.headers_, settings_.protocol_.deadline_header_, std::to_string(left.count()));
+    decide::set_header(request.headers_, settings_.protocol_.instance_header_, a.instance_);
+    backend_->stream(a.run_.value(), std::move(request), a.timeout_ + answer_slack,
                      [this, run = a.run_](http::response_event e) { take_response(run, std::move(e)); });
 }
 
@@ -103,12 +122,7 @@
 {
     std::visit(guavahaven::overloaded{
                    [&](http::response_start& first) {
-                       http::response& r = first.response_;
-                       const std::string length = http::find_header(r.headers_, "Content-Length");
-                       r.headers_ = http::end_to_end(r.headers_);
-                       if (!first.complete_ && !length.empty())
-                           r.headers_.push_back({"Content-Length", length});
-                       handle(decide::run_answered{run, std::move(r), first.complete_});
+                       take_whole(run, std::move(first.response_), first.complete_);
                    },
                    [&](http::response_part& part) {
                        handle(decide::run_continued{run, std::move(part.bytes_), part.complete_});
@@ -123,6 +137,50 @@
                event);
 }
 
+// Passes on what the instance made by running the request; its refusals, and
+// what bears no sign of it, are told apart.
+void door::take_whole(decide::run_id run, http::response r, bool complete)
+{
+    const protocol& p = settings_.protocol_;
+    const bool misdirected = p.misdirected_status_ != 0 && r.status_ == p.misdirected_status_;
+    if (misdirected ||
+        (!p.not_run_header_.empty() && !http::find_header(r.headers_, p.not_run_header_).empty())) {
+        ++metrics_.counter("guavahaven_gate_backend_refusals_total");
+        if (!complete)
+            cancel_run(run);
+        return handle(decide::run_refused{run, misdirected});
+    }
+    const bool encoded = !http::find_header(r.headers_, "Content-Encoding").empty();
+    if (!p.seal_header_.empty() && (encoded || http::find_header(r.headers_, p.seal_header_).empty())) {
+        log_warning("backend", "answer_unusable",
+                    "run=" + std::to_string(run.value()) + " status=" + std::to_string(r.status_));
+        if (!complete)
+            cancel_run(run);
+        return handle(decide::run_broken{run});
+    }
+    const std::string length = http::find_header(r.headers_, "Content-Length");
+    r.headers_ = http::end_to_end(r.headers_);
+    if (!complete && !length.empty())
+        r.headers_.push_back({"Content-Length", length});
+    handle(decide::run_answered{run, std::move(r), complete});
+}
+
+void door::cancel_run(decide::run_id run)
+{
+    if (backend_)
+        backend_->cancel(run.value());
+    for (const auto& client : former_)
+        client->cancel(run.value());
+}
+
+void door::apply(const decide::backend_down&)
+{
+    present_ = false;
+    log_warning("backend", "lost",
+                "reason=unreachable instance=" + (announced_ ? announced_->instance_ : ""));
+    out_.announced_({});
+}
+
 void door::apply(const decide::pause_run& a)
 {
     const auto turn = [&a](http::client& client) {
@@ -141,10 +199,7 @@
 void door::apply(const decide::abort_run& a)
 {
     ++metrics_.counter("guavahaven_gate_cancelled_total");
-    if (backend_)
-        backend_->cancel(a.run_.value());
-    for (const auto& client : former_)
-        client->cancel(a.run_.value());
+    cancel_run(a.run_);
 }
 
 void door::apply(const decide::send_to_entry& a)
--- a/src/backend/door.h
+++ b/src/backend/door.h
@@ -2,9 +2,6 @@
 
 // The task that talks to the backend server beside this daemon: takes its
 // announcements, gives it requests, and feeds the gate's decisions.
-//
-//   POST /announce?service=S&version=V&port=P&slots=N&connections=N[&state=draining][&start=ID]
-//        answered 200; repeated by the backend server as its heartbeat
 
 #include <functional>
 #include <map>
@@ -12,6 +9,7 @@
 #include <optional>
 #include <vector>
 
+#include "backend/announcement.h"
 #include "base/http.h"
 #include "base/metrics.h"
 #include "decide/control.h"
@@ -24,6 +22,7 @@
     struct settings {
         http::address listen_;
         duration announcement_timeout_{};
+        protocol protocol_;
     };
 
     // to_entry passes a gate's message to the entry that asked, to_gate one to
@@ -47,13 +46,19 @@
 
 private:
     void take_response(decide::run_id run, http::response_event e);
-    void take_announcement(http::exchange& e);
+    void take_statement(http::exchange& e);
+    void take(const announcement& a);
+    void take(const farewell& f);
+    bool is_late(const announcement& a) const;
+    void take_whole(decide::run_id run, http::response r, bool complete);
     void apply(decide::gate_actions actions);
     void apply(const decide::start_run& a);
     void apply(const decide::abort_run& a);
     void apply(const decide::pause_run& a);
     void apply(const decide::send_to_entry& a);
     void apply(const decide::send_to_peer_gate& a);
+    void apply(const decide::backend_down& a);
+    void cancel_run(decide::run_id run);
     void connect(const http::address& at, std::uint32_t connections);
     void tick();
 
@@ -66,6 +71,7 @@
     http::server server_;
     std::unique_ptr<http::client> backend_;
     std::vector<std::unique_ptr<http::client>> former_; // of other addresses, with requests under way
+    std::optional<announcement> announced_;             // last
     http::address backend_address_;
     std::uint64_t last_run_ = 0;
     std::uint32_t connections_ = 0;
--- a/src/base/event_loop.cpp
+++ b/src/base/event_loop.cpp
@@ -19,6 +19,8 @@
 {
     // A peer that closes early must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
+    // Nor must a reload that nobody waits for yet.
+    std::signal(SIGHUP, SIG_IGN);
 }
 
 void event_loop::run()
@@ -40,6 +42,13 @@
     event_add(interrupt_.get(), nullptr);
 }
 
+void event_loop::on_reload_signal(std::function<void()> handler)
+{
+    on_reload_ = std::move(handler);
+    reload_.reset(evsignal_new(base_.get(), SIGHUP, call_handler, &on_reload_));
+    event_add(reload_.get(), nullptr);
+}
+
 timer::timer(event_loop& loop, std::function<void()> handler)
     : handler_(std::move(handler)), event_(event_new(loop.base(), -1, 0, call_handler, &handler_))
 {
--- a/src/base/event_loop.h
+++ b/src/base/event_loop.h
@@ -32,8 +32,13 @@
     // Calls handler when the process gets SIGTERM or SIGINT.
     void on_stop_signal(std::function<void()> handler);
 
+    // Calls handler when the process gets SIGHUP.
+    void on_reload_signal(std::function<void()> handler);
+
 private:
     std::unique_ptr<event_base, event_base_deleter> base_;
+    std::unique_ptr<event, event_deleter> reload_;
+    std::function<void()> on_reload_;
     std::unique_ptr<event, event_deleter> terminate_;
     std::unique_ptr<event, event_deleter> interrupt_;
     std::function<void()> on_stop_;
--- a/src/base/http.h
+++ b/src/base/http.h
@@ -1,7 +1,7 @@
 #pragma once
 
-// HTTP over evhttp: values, a small server and a client with reused
-// connections, both on the process's event loop.
+// HTTP/1.1: values, a server and a client with reused connections, both on the
+// process's event loop.
 
 #include "base/http_client.h"
 #include "base/http_message.h"
--- a/src/base/http_client.cpp
+++ b/src/base/http_client.cpp
@@ -1,75 +1,300 @@
 #include "base/http_client.h"
 
+#include <arpa/inet.h>
+#include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <netinet/in.h>
 
 #include <algorithm>
+#include <charconv>
+
+#include "base/http_reader.h"
+#include "base/sockets.h"
 
 namespace guavahaven::http {
 
 namespace {
 
-evhttp_cmd_type method_type(const std::string& name)
-{
-    for (const evhttp_cmd_type type : {EVHTTP_REQ_GET, EVHTTP_REQ_POST, EVHTTP_REQ_HEAD, EVHTTP_REQ_PUT,
-                                       EVHTTP_REQ_DELETE, EVHTTP_REQ_OPTIONS, EVHTTP_REQ_PATCH})
-        if (detail::method_name(type) == name)
-            return type;
-    return EVHTTP_REQ_GET;
-}
-
 constexpr std::size_t part_least = 64 * 1024;    // bytes of a response that are held to pass on at once
 constexpr std::size_t unread_most = 1024 * 1024; // bytes that a connection reads ahead
+constexpr std::size_t head_most = 64 * 1024;     // bytes of a response's head
+constexpr std::size_t body_most = 1024UL * 1024 * 1024;
+constexpr duration idle_unstated =
+    std::chrono::seconds(60);       // that a server keeps a connection, if it says nothing
+constexpr int idle_used_of_ten = 8; // tenths of the idle time after which a connection isn't used again
+
+// What a server says in 'Keep-Alive: timeout=N'.
+duration idle_time(const headers& all)
+{
+    const std::string text = find_header(all, "Keep-Alive");
+    const std::size_t at = text.find("timeout=");
+    std::uint32_t seconds = 0;
+    if (at == std::string::npos)
+        return idle_unstated;
+    std::from_chars(text.data() + at + 8, text.data() + text.size(), seconds);
+    return std::chrono::seconds(seconds);
+}
 
-// True if the sender said where the response ends, so that one cut short is noticed.
-bool has_known_end(evhttp_request* raw)
+std::string to_bytes(const request& r, const address& to)
 {
-    const int status = evhttp_request_get_response_code(raw);
-    const bool no_body = evhttp_request_get_command(raw) == EVHTTP_REQ_HEAD || status == 204 || status == 304;
-    const evkeyvalq* in = evhttp_request_get_input_headers(raw);
-    return no_body || evhttp_find_header(in, "Content-Length") || evhttp_find_header(in, "Transfer-Encoding");
+    std::string out = r.method_ + " " + r.target_ + " HTTP/1.1\r\n";
+    if (find_header(r.headers_, "Host").empty())
+        out += "Host: " + to_string(to) + "\r\n";
+    for (const header& h : r.headers_)
+        out += h.name_ + ": " + h.value_ + "\r\n";
+    const bool may_lack_body = r.method_ == "GET" || r.method_ == "HEAD" || r.method_ == "DELETE";
+    if (!r.body_.empty() || !may_lack_body)
+        out += "Content-Length: " + std::to_string(r.body_.size()) + "\r\n";
+    return out + "\r\n" + r.body_;
 }
 
 } // namespace
 
 // One connection and the request that is using it, if any.
-struct client::slot {
-    client& owner_;
-    std::unique_ptr<evhttp_connection, detail::connection_deleter> connection_;
-    stream_handler handler_;
-    std::uint64_t ticket_ = 0;
-    bool sent_ = false;    // bytes of the request were given to the system
-    bool started_ = false; // the start of the response was passed on
-    std::string held_;     // read but not passed on
+class client::connection : public std::enable_shared_from_this<client::connection> {
+public:
+    explicit connection(client& owner)
+        : owner_(owner), reader_(message_reader::kind::response, {head_most, body_most}),
+          timeout_(owner.loop_, [this] { fail(); })
+    {
+        stream_ = bufferevent_socket_new(owner_.loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+        bufferevent_setcb(stream_, &connection::on_read, nullptr, &connection::on_event, this);
+        evbuffer_add_cb(bufferevent_get_output(stream_), &connection::on_written, this);
+        bufferevent_enable(stream_, EV_READ | EV_WRITE);
+    }
+    ~connection() { end(); }
+    connection(const connection&) = delete;
+    connection& operator=(const connection&) = delete;
+
+    bool busy() const { return handler_ != nullptr; }
+    std::uint64_t ticket() const { return ticket_; }
+    // An idle connection that the server is about to close is not used again.
+    bool usable(time_point now) const
+    {
+        return stream_ && !busy() && (now - idle_since_) * 10 < idle_most_ * idle_used_of_ten;
+    }
+    time_point idle_since() const { return idle_since_; }
+
+    void start(waiting_request w)
+    {
+        handler_ = std::move(w.handler_);
+        ticket_ = w.ticket_;
+        in_parts_ = w.in_parts_;
+        sent_ = false;
+        started_ = false;
+        held_.clear();
+        head_request_ = w.request_.method_ == "HEAD";
+        identity_ = owner_.rules_.identity_header_.empty()
+                        ? ""
+                        : find_header(w.request_.headers_, owner_.rules_.identity_header_);
+        begin_response();
+        bufferevent_setwatermark(stream_, EV_READ, 0, in_parts_ ? unread_most : 0);
+        bufferevent_enable(stream_, EV_READ);
+        timeout_.arm(w.timeout_);
+        const std::string bytes = to_bytes(w.request_, owner_.to_);
+        evbuffer_add(bufferevent_get_output(stream_), bytes.data(), bytes.size());
+    }
+
+    // False if the system refuses at once.
+    bool connect()
+    {
+        sockaddr_in where{};
+        where.sin_family = AF_INET;
+        where.sin_port = htons(owner_.to_.port_);
+        if (inet_pton(AF_INET, owner_.to_.ip_.c_str(), &where.sin_addr) != 1)
+            return false;
+        ++owner_.connects_;
+        if (bufferevent_socket_connect(stream_, reinterpret_cast<const sockaddr*>(&where), sizeof where) != 0)
+            return false;
+        if (stream_)
+            tune_socket(bufferevent_getfd(stream_));
+        return stream_ != nullptr;
+    }
+
+    void read_on(bool on)
+    {
+        if (on)
+            bufferevent_enable(stream_, EV_READ);
+        else
+            bufferevent_disable(stream_, EV_READ);
+    }
+
+    void end()
+    {
+        timeout_.cancel();
+        if (stream_)
+            bufferevent_free(std::exchange(stream_, nullptr));
+    }
+
+    // The request under way gets no whole response.
+    void fail()
+    {
+        const auto held = shared_from_this();
+        const stream_handler handler = std::exchange(handler_, nullptr);
+        end();
+        owner_.forget(*this);
+        if (handler)
+            handler(sent_ ? owner_.broken_ : owner_.unreachable_);
+        owner_.start_next();
+    }
+
+private:
+    static void on_read(bufferevent*, void* at) { static_cast<connection*>(at)->shared_from_this()->read(); }
+    static void on_event(bufferevent*, short what, void* at)
+    {
+        const auto c = static_cast<connection*>(at)->shared_from_this();
+        if (what & BEV_EVENT_EOF) {
+            c->read();
+            if (c->busy())
+                c->reader_.end_of_stream();
+            if (c->busy() && c->reader_.done() && !c->foreign_ && c->owner_.rules_.close_delimited_)
+                return c->complete();
+        }
+        if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+            c->fail();
+    }
+    // A request waits in this buffer until its connection is open; whatever
+    // leaves the buffer may have reached the other end.
+    static void on_written(evbuffer*, const evbuffer_cb_info* info, void* at)
+    {
+        if (info->n_deleted > 0)
+            static_cast<connection*>(at)->sent_ = true;
+    }
 
-    explicit slot(client& owner) : owner_(owner) {}
+    void begin_response()
+    {
+        reader_.reset();
+        judged_ = false;
+        foreign_ = false;
+        if (head_request_)
+            reader_.expect_no_body();
+    }
+
+    void read()
+    {
+        const auto held = shared_from_this();
+        while (stream_) {
+            evbuffer* in = bufferevent_get_input(stream_);
+            const std::size_t length = evbuffer_get_length(in);
+            if (length == 0)
+                return;
+            if (!busy())
+                return fail(); // bytes that belong to no request
+            const std::size_t taken =
+                reader_.read({reinterpret_cast<const char*>(evbuffer_pullup(in, -1)), length});
+            evbuffer_drain(in, taken);
+            if (!take_progress())
+                return fail();
+            if (taken == 0)
+                return;
+        }
+    }
 
-    bufferevent* stream() const { return evhttp_connection_get_bufferevent(connection_.get()); }
+    // False if what came is no response to the request.
+    bool take_progress()
+    {
+        if (reader_.fault())
+            return false;
+        if (!reader_.head_done())
+            return true;
+        if (!judged_ && !judge_head())
+            return false;
+        if (reader_.done() && (foreign_ || reader_.status() < 200)) {
+            begin_response(); // the response to the request is still to come
+            return true;
+        }
+        if (foreign_) {
+            reader_.take_body();
+            return true;
+        }
+        if (reader_.done()) {
+            complete();
+            return true;
+        }
+        held_ += reader_.take_body();
+        if (in_parts_ && held_.size() >= part_least)
+            handler_(next_event(false));
+        return true;
+    }
+
+    bool judge_head()
+    {
+        judged_ = true;
+        if (reader_.status() < 200)
+            return reader_.status() != 101;
+        if (reader_.ends_with_connection() && !owner_.rules_.close_delimited_)
+            return false; // nobody could tell that it is whole
+        if (identity_.empty())
+            return true;
+        const std::string named = find_header(reader_.all_headers(), owner_.rules_.identity_header_);
+        foreign_ = !named.empty() && named != identity_;
+        return !named.empty() || reader_.status() >= 300;
+    }
 
     // What is held, as the start of the response or a further part.
-    response_event next_event(evhttp_request* raw, bool complete)
+    response_event next_event(bool complete)
     {
         std::string bytes = std::exchange(held_, {});
         if (std::exchange(started_, true))
             return response_part{std::move(bytes), complete};
-        return response_start{{evhttp_request_get_response_code(raw),
-                               detail::copy_headers(evhttp_request_get_input_headers(raw)), std::move(bytes)},
-                              complete};
+        return response_start{{reader_.status(), reader_.all_headers(), std::move(bytes)}, complete};
     }
+
+    void complete()
+    {
+        held_ += reader_.take_body();
+        timeout_.cancel();
+        idle_most_ = idle_time(reader_.all_headers());
+        idle_since_ = owner_.clock_.now();
+        const bool kept = reader_.keep_alive() && !reader_.ends_with_connection() &&
+                          evbuffer_get_length(bufferevent_get_input(stream_)) == 0;
+        const response_event whole = next_event(true);
+        const stream_handler handler = std::exchange(handler_, nullptr);
+        if (!kept) {
+            end();
+            owner_.forget(*this);
+        }
+        client& owner = owner_;
+        handler(whole);
+        owner.start_next();
+    }
+
+    client& owner_;
+    bufferevent* stream_ = nullptr;
+    message_reader reader_;
+    timer timeout_;
+    stream_handler handler_;
+    std::uint64_t ticket_ = 0;
+    bool in_parts_ = false;
+    bool head_request_ = false;
+    std::string identity_;
+    bool sent_ = false;    // bytes of the request were given to the system
+    bool started_ = false; // the start of the response was passed on
+    bool judged_ = false;  // the head was looked at
+    bool foreign_ = false; // the response belongs to another request
+    std::string held_;     // read but not passed on
+    time_point idle_since_{};
+    duration idle_most_ = idle_unstated;
 };
 
 client::client(event_loop& loop, address to, std::size_t most_connections, error unreachable,
-               std::optional<error> broken)
+               std::optional<error> broken, response_rules rules)
     : loop_(loop), to_(std::move(to)), most_(most_connections), unreachable_(std::move(unreachable)),
-      broken_(broken.value_or(unreachable_))
+      broken_(broken.value_or(unreachable_)), rules_(std::move(rules))
 {
 }
 
-client::~client() = default;
+client::~client()
+{
+    for (const auto& c : connections_)
+        c->end();
+}
 
 std::size_t client::in_flight() const
 {
-    const auto busy = [](const auto& s) { return s->handler_ != nullptr; };
-    return waiting_.size() + static_cast<std::size_t>(std::count_if(slots_.begin(), slots_.end(), busy));
+    const auto busy = [](const auto& c) { return c->busy(); };
+    return waiting_.size() +
+           static_cast<std::size_t>(std::count_if(connections_.begin(), connections_.end(), busy));
 }
 
 void client::send(request r, duration timeout, response_handler h)
@@ -93,110 +318,67 @@
     enqueue({ticket, std::move(r), timeout, std::move(h), true});
 }
 
+// The one that was used last, so that the others may be closed for idleness.
+client::connection* client::idle_connection()
+{
+    const time_point now = clock_.now();
+    std::erase_if(connections_, [now](const auto& c) { return !c->busy() && !c->usable(now); });
+    connection* best = nullptr;
+    for (const auto& c : connections_)
+        if (!c->busy() && (!best || c->idle_since() > best->idle_since()))
+            best = c.get();
+    return best;
+}
+
 void client::enqueue(waiting_request w)
 {
-    const auto free = std::find_if(slots_.begin(), slots_.end(), [](const auto& s) { return !s->handler_; });
-    if (free != slots_.end())
-        return start(**free, std::move(w));
-    if (slots_.size() >= most_) {
+    if (connection* idle = idle_connection())
+        return idle->start(std::move(w));
+    if (connections_.size() >= most_) {
         waiting_.push_back(std::move(w));
         return;
     }
-    slots_.push_back(std::make_unique<slot>(*this));
-    slot& opened = *slots_.back();
-    opened.connection_.reset(evhttp_connection_base_new(loop_.base(), nullptr, to_.ip_.c_str(), to_.port_));
-    evbuffer* out = bufferevent_get_output(opened.stream());
-    evbuffer_add_cb(out, &client::written, &opened);
-    start(opened, std::move(w));
-}
-
-// A request waits outside this buffer until its connection is open; whatever
-// leaves the buffer may have reached the other end.
-void client::written(evbuffer*, const evbuffer_cb_info* info, void* at)
-{
-    if (info->n_deleted > 0)
-        static_cast<slot*>(at)->sent_ = true;
+    const auto opened = std::make_shared<connection>(*this);
+    connections_.push_back(opened);
+    opened->start(std::move(w));
+    if (!opened->connect() && opened->busy())
+        opened->fail();
 }
 
-client::slot* client::find(std::uint64_t ticket)
+client::connection* client::find(std::uint64_t ticket)
 {
-    const auto at = std::find_if(slots_.begin(), slots_.end(), [ticket](const auto& s) {
-        return s->handler_ != nullptr && s->ticket_ == ticket;
-    });
-    return at == slots_.end() ? nullptr : at->get();
+    const auto at = std::find_if(connections_.begin(), connections_.end(),
+                                 [ticket](const auto& c) { return c->busy() && c->ticket() == ticket; });
+    return at == connections_.end() ? nullptr : at->get();
 }
 
 void client::pause(std::uint64_t ticket)
 {
-    if (const slot* s = find(ticket))
-        bufferevent_disable(s->stream(), EV_READ);
+    if (connection* c = find(ticket))
+        c->read_on(false);
 }
 
 void client::resume(std::uint64_t ticket)
 {
-    if (const slot* s = find(ticket))
-        bufferevent_enable(s->stream(), EV_READ);
+    if (connection* c = find(ticket))
+        c->read_on(true);
 }
 
 void client::cancel(std::uint64_t ticket)
 {
     std::erase_if(waiting_, [ticket](const waiting_request& w) { return w.ticket_ == ticket; });
-    const slot* cancelled = find(ticket);
+    connection* cancelled = find(ticket);
     if (!cancelled)
         return;
-    std::erase_if(slots_, [cancelled](const auto& s) { return s.get() == cancelled; });
+    const auto held = cancelled->shared_from_this();
+    held->end();
+    forget(*cancelled);
     start_next();
 }
 
-void client::start(slot& at, waiting_request w)
-{
-    at.handler_ = std::move(w.handler_);
-    at.ticket_ = w.ticket_;
-    at.sent_ = false;
-    at.started_ = false;
-    evhttp_connection* connection = at.connection_.get();
-    const timeval wait{static_cast<time_t>(w.timeout_.count() / 1'000'000),
-                       static_cast<suseconds_t>(w.timeout_.count() % 1'000'000)};
-    evhttp_connection_set_timeout_tv(connection, &wait);
-    evhttp_request* raw = evhttp_request_new(&client::done, &at);
-    if (w.in_parts_)
-        evhttp_request_set_chunked_cb(raw, &client::part_read);
-    bufferevent_setwatermark(at.stream(), EV_READ, 0, w.in_parts_ ? unread_most : 0);
-    evkeyvalq* out = evhttp_request_get_output_headers(raw);
-    evhttp_add_header(out, "Host", to_.ip_.c_str());
-    detail::add_headers(out, w.request_.headers_);
-    evbuffer_add(evhttp_request_get_output_buffer(raw), w.request_.body_.data(), w.request_.body_.size());
-    if (evhttp_make_request(connection, raw, method_type(w.request_.method_), w.request_.target_.c_str()) !=
-        0) {
-        auto failed = std::exchange(at.handler_, nullptr);
-        failed(unreachable_);
-        return;
-    }
-    detail::send_at_once(connection);
-}
-
-void client::part_read(evhttp_request* raw, void* at)
+void client::forget(connection& c)
 {
-    auto& s = *static_cast<slot*>(at);
-    s.held_ += detail::copy_body(evhttp_request_get_input_buffer(raw));
-    if (s.held_.size() >= part_least)
-        s.handler_(s.next_event(raw, false));
-}
-
-void client::done(evhttp_request* raw, void* at)
-{
-    auto& s = *static_cast<slot*>(at);
-    client& owner = s.owner_;
-    const auto handler = std::exchange(s.handler_, nullptr);
-    if (raw && evhttp_request_get_response_code(raw) != 0 && has_known_end(raw)) {
-        s.held_ += detail::copy_body(evhttp_request_get_input_buffer(raw));
-        handler(s.next_event(raw, true));
-    }
-    else {
-        s.held_.clear();
-        handler(s.sent_ ? owner.broken_ : owner.unreachable_);
-    }
-    owner.start_next();
+    std::erase_if(connections_, [&c](const auto& held) { return held.get() == &c; });
 }
 
 void client::start_next()
--- a/src/base/http_client.h
+++ b/src/base/http_client.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// An HTTP client over evhttp with reused connections, on the process's event loop.
+// An HTTP/1.1 client with reused connections, on the process's event loop.
 
 #include <functional>
 #include <memory>
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "base/event_loop.h"
-#include "base/http_detail.h"
+#include "base/http_message.h"
 
 namespace guavahaven::http {
 
@@ -29,6 +29,18 @@
 using response_event = std::variant<response_start, response_part, error>;
 using stream_handler = std::function<void(response_event)>;
 
+// What a client takes for the answer to a request.
+struct response_rules {
+    // A header that a server repeats from the request. A response with another
+    // value belongs to another request and is passed over; a success without
+    // it is none. Empty: responses are told apart by their order alone.
+    std::string identity_header_;
+    // A response without a stated length is whole if its connection ends cleanly.
+    bool close_delimited_ = false;
+
+    friend bool operator==(const response_rules&, const response_rules&) = default;
+};
+
 // Sends requests to one address over up to a bounded number of connections,
 // each reused. Requests beyond wait in order.
 class client {
@@ -36,7 +48,7 @@
     // 'broken' is the error when bytes of the request were written, so that it
     // may have run; it is 'unreachable' too if not given.
     client(event_loop& loop, address to, std::size_t most_connections, error unreachable,
-           std::optional<error> broken = {});
+           std::optional<error> broken = {}, response_rules rules = {});
     ~client();
     client(const client&) = delete;
     client& operator=(const client&) = delete;
@@ -46,8 +58,7 @@
     void send(request r, duration timeout, response_handler h);
     // The same, with a ticket to cancel it by.
     void send(std::uint64_t ticket, request r, duration timeout, response_handler h);
-    // The same, with the response passed on in parts if it is long. One that
-    // ends with its connection is an error: nobody could tell that it is whole.
+    // The same, with the response passed on in parts if it is long.
     void stream(std::uint64_t ticket, request r, duration timeout, stream_handler h);
     // Stops and goes on reading a streamed response; the connection's own
     // buffers then hold back the sender.
@@ -58,9 +69,11 @@
     void cancel(std::uint64_t ticket);
 
     std::size_t in_flight() const;
+    // Connections opened so far.
+    std::uint64_t connects() const { return connects_; }
 
 private:
-    struct slot;
+    class connection;
     struct waiting_request {
         std::uint64_t ticket_ = 0; // 0: cannot be cancelled
         request request_;
@@ -69,20 +82,21 @@
         bool in_parts_ = false;
     };
 
-    static void done(evhttp_request* raw, void* at);
-    static void part_read(evhttp_request* raw, void* at);
-    static void written(evbuffer*, const evbuffer_cb_info* info, void* at);
-    slot* find(std::uint64_t ticket);
-    void start(slot& at, waiting_request w);
+    connection* find(std::uint64_t ticket);
+    connection* idle_connection();
     void enqueue(waiting_request w);
     void start_next();
+    void forget(connection& c);
 
     event_loop& loop_;
+    runtime_clock clock_;
     address to_;
     std::size_t most_;
     error unreachable_;
     error broken_;
-    std::vector<std::unique_ptr<slot>> slots_;
+    response_rules rules_;
+    std::uint64_t connects_ = 0;
+    std::vector<std::shared_ptr<connection>> connections_;
     std::vector<waiting_request> waiting_;
 };
 
--- a/src/base/http_message.cpp
+++ b/src/base/http_message.cpp
@@ -16,6 +16,23 @@
     return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
 }
 
+namespace {
+
+// True if a comma-separated list holds a name.
+bool in_list(std::string_view list, std::string_view name)
+{
+    while (!list.empty()) {
+        std::string_view item = list.substr(0, list.find(','));
+        list.remove_prefix(std::min(list.size(), item.size() + 1));
+        item.remove_prefix(std::min(item.size(), item.find_first_not_of(' ')));
+        if (same_name(item.substr(0, item.find(' ')), name))
+            return true;
+    }
+    return false;
+}
+
+} // namespace
+
 std::string find_header(const headers& all, std::string_view name)
 {
     const auto same = [name](const header& h) { return same_name(h.name_, name); };
@@ -25,13 +42,14 @@
 
 headers end_to_end(const headers& all)
 {
-    constexpr std::array<std::string_view, 7> of_connection{"Connection",      "Content-Length",    "Host",
-                                                            "Keep-Alive",      "Transfer-Encoding", "Upgrade",
-                                                            "Proxy-Connection"};
+    constexpr std::array<std::string_view, 8> of_connection{
+        "Connection", "Content-Length", "Keep-Alive",      "Transfer-Encoding", "Upgrade",
+        "TE",         "Trailer",        "Proxy-Connection"};
+    const std::string named = find_header(all, "Connection");
     headers kept;
     for (const header& h : all) {
         const auto same = [&](std::string_view name) { return same_name(h.name_, name); };
-        if (std::none_of(of_connection.begin(), of_connection.end(), same))
+        if (std::none_of(of_connection.begin(), of_connection.end(), same) && !in_list(named, h.name_))
             kept.push_back(h);
     }
     return kept;
--- a/src/base/http_message.h
+++ b/src/base/http_message.h
@@ -26,7 +26,7 @@
 std::string find_header(const headers& all, std::string_view name);
 
 // The headers that go on to the next hop; those that belong to one connection
-// (length, encoding, host, connection) are left out.
+// (length, encoding, and what 'Connection' names) are left out.
 headers end_to_end(const headers& all);
 
 // Value of a parameter in the query part of a target; "" if absent.
--- a/src/base/http_server.cpp
+++ b/src/base/http_server.cpp
@@ -1,175 +1,265 @@
 #include "base/http_server.h"
 
-#include <event2/bufferevent.h>
-#include <sys/socket.h>
+#include <arpa/inet.h>
+#include <netinet/in.h>
+
+#include <algorithm>
+
+#include "base/http_connection.h"
 
 namespace guavahaven::http {
 
 namespace {
 
-constexpr evhttp_cmd_type all_methods =
-    static_cast<evhttp_cmd_type>(EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
-                                 EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH);
+constexpr duration sweep_interval = std::chrono::milliseconds(250);
+constexpr duration linger_most = std::chrono::seconds(2); // for a caller to close after the last answer
 
-using buffer = std::unique_ptr<evbuffer, detail::buffer_deleter>;
+bool has_no_body(const std::string& method, int status)
+{
+    return method == "HEAD" || status == 204 || status == 304;
+}
 
-buffer make_buffer(const std::string& bytes)
+std::string reason(int status)
 {
-    buffer b(evbuffer_new());
-    evbuffer_add(b.get(), bytes.data(), bytes.size());
-    return b;
+    switch (status) {
+    case 200:
+        return "OK";
+    case 400:
+        return "Bad Request";
+    case 404:
+        return "Not Found";
+    case 429:
+        return "Too Many Requests";
+    case 502:
+        return "Bad Gateway";
+    case 503:
+        return "Service Unavailable";
+    case 504:
+        return "Gateway Timeout";
+    default:
+        return "Status";
+    }
+}
+
+std::string chunk(const std::string& bytes)
+{
+    char size[20];
+    const int length = std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
+    return std::string(size, static_cast<std::size_t>(length)) + bytes + "\r\n";
 }
 
 } // namespace
 
-exchange::exchange(evhttp_request* raw) : raw_(raw)
+exchange::exchange(std::weak_ptr<server_connection> connection, std::shared_ptr<detail::turn> turn)
+    : connection_(std::move(connection)), turn_(std::move(turn))
 {
-    request_.method_ = detail::method_name(evhttp_request_get_command(raw));
-    request_.target_ = evhttp_request_get_uri(raw);
-    request_.headers_ = detail::copy_headers(evhttp_request_get_input_headers(raw));
-    request_.body_ = detail::copy_body(evhttp_request_get_input_buffer(raw));
-    evhttp_connection_set_closecb(evhttp_request_get_connection(raw), &exchange::closed, this);
 }
 
 exchange::~exchange()
 {
-    if (!raw_)
+    turn_->gone_ = nullptr;
+    turn_->written_ = nullptr;
+    if (turn_->answered_)
         return;
-    if (started_)
+    if (turn_->started_)
         abort();
     else
         reply({500, {}, ""});
 }
 
-// After the answer the connection serves other requests, which have their own exchange.
-void exchange::detach()
-{
-    if (!raw_)
-        return;
-    if (evhttp_connection* connection = evhttp_request_get_connection(raw_))
-        evhttp_connection_set_closecb(connection, nullptr, nullptr);
-    raw_ = nullptr;
-}
-
-void exchange::closed(evhttp_connection*, void* self)
+void exchange::write_head(const response& head, bool chunked)
 {
-    auto& e = *static_cast<exchange*>(self);
-    e.raw_ = nullptr; // evhttp frees the request along with its connection
-    e.written_ = nullptr;
-    if (auto gone = std::exchange(e.gone_, nullptr))
-        gone();
-}
-
-void exchange::on_gone(std::function<void()> handler)
-{
-    gone_ = std::move(handler);
+    turn_->started_ = true;
+    turn_->chunked_ = chunked;
+    std::string& out = turn_->unsent_;
+    out += turn_->version_ == 10 ? "HTTP/1.0 " : "HTTP/1.1 ";
+    out += std::to_string(head.status_) + " " + reason(head.status_) + "\r\n";
+    for (const header& h : head.headers_) {
+        if (same_name(h.name_, "Connection")) {
+            turn_->keep_alive_ = turn_->keep_alive_ && !same_name(h.value_, "close");
+            continue;
+        }
+        out += h.name_ + ": " + h.value_ + "\r\n";
+    }
+    if (chunked)
+        out += "Transfer-Encoding: chunked\r\n";
+    if (!turn_->keep_alive_)
+        out += "Connection: close\r\n";
 }
 
 void exchange::reply(const response& whole)
 {
-    if (!raw_)
+    if (turn_->answered_)
         return;
-    evhttp_request* raw = raw_;
-    detail::send_at_once(evhttp_request_get_connection(raw));
-    detail::add_headers(evhttp_request_get_output_headers(raw), whole.headers_);
-    const buffer body = make_buffer(whole.body_);
-    detach();
-    evhttp_send_reply(raw, whole.status_, nullptr, body.get());
+    write_head(whole, false);
+    const bool no_body = has_no_body(turn_->request_.method_, whole.status_);
+    if (!no_body || find_header(whole.headers_, "Content-Length").empty())
+        turn_->unsent_ += "Content-Length: " + std::to_string(whole.body_.size()) + "\r\n";
+    turn_->unsent_ += "\r\n";
+    if (!no_body)
+        turn_->unsent_ += whole.body_;
+    turn_->answered_ = true;
+    flush();
 }
 
 void exchange::start(int status, const headers& all)
 {
-    if (!raw_)
+    if (turn_->answered_)
         return;
-    started_ = true;
-    detail::send_at_once(evhttp_request_get_connection(raw_));
-    detail::add_headers(evhttp_request_get_output_headers(raw_), all);
-    evhttp_send_reply_start(raw_, status, nullptr);
+    const bool unstated =
+        find_header(all, "Content-Length").empty() && !has_no_body(turn_->request_.method_, status);
+    // Callers of HTTP/1.0 know no chunks: for them the answer ends with the connection.
+    const bool chunked = unstated && turn_->version_ != 10;
+    turn_->keep_alive_ = turn_->keep_alive_ && (chunked || !unstated);
+    write_head({status, all, ""}, chunked);
+    turn_->unsent_ += "\r\n";
+    flush();
 }
 
 void exchange::more(const std::string& bytes, std::function<void()> written)
 {
-    if (!raw_)
+    if (turn_->answered_)
         return;
-    written_ = std::move(written);
-    const buffer part = make_buffer(bytes);
-    evhttp_send_reply_chunk_with_cb(raw_, part.get(), &exchange::drained, this);
-}
-
-void exchange::drained(evhttp_connection*, void* self)
-{
-    if (auto written = std::exchange(static_cast<exchange*>(self)->written_, nullptr))
-        written();
+    turn_->written_ = std::move(written);
+    if (!bytes.empty())
+        turn_->unsent_ += turn_->chunked_ ? chunk(bytes) : bytes;
+    flush();
 }
 
 void exchange::finish()
 {
-    if (!raw_)
+    if (turn_->answered_)
         return;
-    evhttp_request* raw = raw_;
-    detach();
-    evhttp_send_reply_end(raw);
+    if (turn_->chunked_)
+        turn_->unsent_ += "0\r\n\r\n";
+    turn_->answered_ = true;
+    flush();
 }
 
-// A reset, since a plain close would end an answer of HTTP/1.0 as if it were whole.
 void exchange::abort()
 {
-    if (!raw_)
-        return;
-    evhttp_connection* connection = evhttp_request_get_connection(raw_);
-    detach();
-    if (!connection)
+    if (turn_->answered_)
         return;
-    const sockaddr nowhere{AF_UNSPEC, {}};
-    const evutil_socket_t fd = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
-    static_cast<void>(connect(fd, &nowhere, sizeof nowhere)); // if it fails, the close below still ends it
-    evhttp_connection_free(connection);
+    turn_->answered_ = true;
+    turn_->reset_ = true;
+    turn_->gone_ = nullptr;
+    flush();
+}
+
+void exchange::flush()
+{
+    if (const auto c = connection_.lock())
+        c->flush();
 }
 
-void exchange::drop()
+server::server(event_loop& loop, const server_limits& limits, handler h, refusal r)
+    : loop_(loop), limits_(limits), handler_(std::move(h)), refusal_(std::move(r)),
+      sweep_(loop, [this] { sweep(); })
 {
-    if (raw_)
-        evhttp_connection_free(evhttp_request_get_connection(raw_));
 }
 
-server::server(event_loop& loop, server_limits limits, handler h)
-    : handler_(std::move(h)), connections_(loop, limits), http_(evhttp_new(loop.base()))
+server::~server()
 {
-    evhttp_set_bevcb(http_.get(), &server::open_stream, this);
-    evhttp_set_gencb(http_.get(), &server::received, this);
-    evhttp_set_allowed_methods(http_.get(), static_cast<ev_uint16_t>(all_methods));
-    evhttp_set_max_headers_size(http_.get(), static_cast<ev_ssize_t>(limits.header_bytes_));
-    evhttp_set_max_body_size(http_.get(), static_cast<ev_ssize_t>(limits.body_bytes_));
-    evhttp_set_timeout(http_.get(), static_cast<int>(limits.idle_.count()));
-    evhttp_set_default_content_type(http_.get(), nullptr);
+    while (!connections_.empty())
+        connections_.front()->close(false);
+}
+
+response server::plain_refusal(read_fault why)
+{
+    switch (why) {
+    case read_fault::head_too_large:
+        return {431, {}, ""};
+    case read_fault::body_too_large:
+        return {413, {}, ""};
+    case read_fault::malformed:
+        break;
+    }
+    return {400, {}, ""};
 }
 
 status server::listen(const address& at)
 {
-    bound_ = evhttp_bind_socket_with_handle(http_.get(), at.ip_.c_str(), at.port_);
-    if (!bound_)
+    sockaddr_in where{};
+    where.sin_family = AF_INET;
+    where.sin_port = htons(at.port_);
+    if (inet_pton(AF_INET, at.ip_.c_str(), &where.sin_addr) != 1)
+        return error{code::settings_bad_value, "not an IP address: " + at.ip_};
+    const unsigned flags = LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC;
+    listener_.reset(evconnlistener_new_bind(loop_.base(), &server::accepted, this, flags, -1,
+                                            reinterpret_cast<const sockaddr*>(&where), sizeof where));
+    if (!listener_)
         return error{code::settings_bad_value, "can't listen on " + to_string(at)};
     return std::monostate{};
 }
 
 void server::stop_listening()
 {
-    if (bound_)
-        evhttp_del_accept_socket(http_.get(), bound_);
-    bound_ = nullptr;
+    listener_.reset();
 }
 
-bufferevent* server::open_stream(event_base* base, void* self)
+void server::accepted(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self)
 {
-    return static_cast<server*>(self)->connections_.open(base);
+    auto& s = *static_cast<server*>(self);
+    if (s.connections_.empty())
+        s.sweep_.arm(sweep_interval);
+    s.connections_.push_back(std::make_shared<server_connection>(s, fd));
+    s.connections_.back()->begin();
+    if (s.connections_.size() > s.limits_.connections_)
+        s.close_surplus();
 }
 
-void server::received(evhttp_request* raw, void* self)
+void server::forget(server_connection& c)
 {
-    auto& s = *static_cast<server*>(self);
-    auto e = std::make_shared<exchange>(raw);
-    s.connections_.arrived(evhttp_connection_get_bufferevent(evhttp_request_get_connection(raw)), e);
-    s.handler_(std::move(e));
+    connections_.remove_if([&c](const auto& held) { return held.get() == &c; });
+}
+
+bool server::quiet() const
+{
+    return std::none_of(connections_.begin(), connections_.end(),
+                        [](const auto& c) { return c->busy() || c->writing(); });
+}
+
+void server::sweep()
+{
+    close_late();
+    close_surplus();
+    if (!connections_.empty())
+        sweep_.arm(sweep_interval);
+}
+
+void server::close_late()
+{
+    const time_point now = clock_.now();
+    std::vector<std::shared_ptr<server_connection>> late;
+    for (const auto& c : connections_) {
+        const duration silent = now - c->since();
+        const bool arriving = c->unfinished() > 0;
+        if (c->closing() ? silent > linger_most
+                         : !c->busy() && silent > (arriving ? limits_.arrival_ : limits_.idle_))
+            late.push_back(c);
+    }
+    for (const auto& c : late)
+        c->close(false);
+}
+
+std::size_t server::unfinished_bytes() const
+{
+    std::size_t sum = 0;
+    for (const auto& c : connections_)
+        sum += c->unfinished();
+    return sum;
+}
+
+// The idle go first, the one that has waited longest before the others; then the newest.
+void server::close_surplus()
+{
+    while (connections_.size() > limits_.connections_ || unfinished_bytes() > limits_.unfinished_bytes_) {
+        std::shared_ptr<server_connection> worst;
+        for (const auto& c : connections_)
+            if (!c->busy() && (!worst || c->since() < worst->since()))
+                worst = c;
+        (worst ? worst : connections_.back())->close(false);
+    }
 }
 
 } // namespace guavahaven::http
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -1,20 +1,62 @@
 #include "base/log.h"
 
-#include <log4cxx/consoleappender.h>
+#include <fcntl.h>
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/level.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
+#include <unistd.h>
+
+#include <climits>
+#include <cstdint>
 
 namespace guavahaven {
 
+namespace {
+
+// Writes each line whole or not at all: a reader that has fallen asleep must
+// not stop the daemon. Lines that were left out are counted in the next one.
+class pipe_appender final : public log4cxx::AppenderSkeleton {
+public:
+    explicit pipe_appender(log4cxx::LayoutPtr form) : form_(std::move(form))
+    {
+        const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+        static_cast<void>(fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK));
+    }
+
+    void close() override {}
+    bool requiresLayout() const override { return true; }
+
+protected:
+    void append(const log4cxx::spi::LoggingEventPtr& event, log4cxx::helpers::Pool& pool) override
+    {
+        log4cxx::LogString text;
+        form_->format(text, event, pool);
+        std::string line(text.begin(), text.end());
+        if (dropped_ > 0)
+            line.insert(line.size() - 1, " lines_dropped=" + std::to_string(dropped_));
+        // A pipe takes up to PIPE_BUF bytes at once or none.
+        if (line.size() <= PIPE_BUF &&
+            ::write(STDOUT_FILENO, line.data(), line.size()) == static_cast<ssize_t>(line.size()))
+            dropped_ = 0;
+        else
+            ++dropped_;
+    }
+
+private:
+    log4cxx::LayoutPtr form_;
+    std::uint64_t dropped_ = 0;
+};
+
+} // namespace
+
 void start_logging(const std::string& level)
 {
     const auto layout =
         std::make_shared<log4cxx::PatternLayout>("%d{yyyy-MM-ddTHH:mm:ss.SSS}{UTC}Z %p %c %m%n");
-    const auto console = std::make_shared<log4cxx::ConsoleAppender>(layout, "System.err");
     const auto root = log4cxx::Logger::getRootLogger();
     root->removeAllAppenders();
-    root->addAppender(console);
+    root->addAppender(std::make_shared<pipe_appender>(layout));
     root->setLevel(log4cxx::Level::toLevel(level, log4cxx::Level::getInfo()));
 }
 
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -7,7 +7,7 @@
 
 namespace guavahaven {
 
-// Writes to standard error, each line with UTC time, level and source.
+// Writes to standard output, never waiting for its reader, each line with UTC time, level and source.
 // level is one of error, warn, info, debug.
 void start_logging(const std::string& level);
 
--- a/src/base/result.cpp
+++ b/src/base/result.cpp
@@ -43,6 +43,7 @@
           "apply the rules again with --daemon=ADDRESS of any daemon, which gives them a number above both"},
     entry{code::started_unconfirmed, "started_unconfirmed",
           "check the platform's address and the seeds; the daemon serves by what it has"},
+    entry{code::platform_history_gone, "platform_history_gone", "nothing; the daemon reads everything anew"},
     entry{code::frame_malformed, "frame_malformed", "check that only daemons talk to the peer port"},
     entry{code::frame_too_large, "frame_too_large", "check that only daemons talk to the peer port"},
     entry{code::frame_protocol_version, "frame_protocol_version", "bring both daemons to the same release"},
@@ -75,6 +76,7 @@
     entry{code::backend_unreachable, "backend_unreachable", "check the backend server beside the daemon"},
     entry{code::backend_failed, "backend_failed", "check the backend server beside the daemon"},
     entry{code::answer_incomplete, "answer_incomplete", "check the backend server beside the daemon"},
+    entry{code::backend_refused, "backend_refused", "the backend server had no room; add backend servers"},
 };
 
 const entry* find(code c)
--- a/src/base/result.h
+++ b/src/base/result.h
@@ -39,6 +39,7 @@
     platform_older_state = 205,
     configuration_conflict = 206,
     started_unconfirmed = 207,
+    platform_history_gone = 208,
 
     frame_malformed = 300,
     frame_too_large = 301,
@@ -68,6 +69,7 @@
     backend_unreachable = 500,
     backend_failed = 501,
     answer_incomplete = 502,
+    backend_refused = 503,
 };
 
 // Numeric value of a code, as printed to operators and callers.
--- a/src/caller/door.cpp
+++ b/src/caller/door.cpp
@@ -2,36 +2,12 @@
 
 namespace guavahaven::caller {
 
-namespace {
-
-constexpr std::size_t header_most = 16 * 1024; // bytes of a request's names and values
-constexpr std::size_t body_most = 1024 * 1024; // bytes
-
-// The library closes the connection above its own limits, without a word; so
-// these lie higher, and what is between is refused by its code.
-http::server_limits library_limits()
-{
-    constexpr std::size_t room = 4;
-    http::server_limits limits;
-    limits.header_bytes_ = room * header_most;
-    limits.body_bytes_ = room * body_most;
-    return limits;
-}
-
-bool too_large(const http::request& r)
-{
-    std::size_t header_bytes = r.target_.size();
-    for (const http::header& h : r.headers_)
-        header_bytes += h.name_.size() + h.value_.size();
-    return header_bytes > header_most || r.body_.size() > body_most;
-}
-
-} // namespace
-
 door::door(event_loop& loop, metrics& counts, decide::entry decisions,
            std::function<void(const daemon_name&, const decide::entry_to_gate&, bool)> to_gate)
     : metrics_(counts), entry_(std::move(decisions)), to_gate_(std::move(to_gate)),
-      server_(loop, library_limits(), [this](const std::shared_ptr<http::exchange>& e) { take_request(e); }),
+      server_(
+          loop, {}, [this](const std::shared_ptr<http::exchange>& e) { take_request(e); },
+          [this](http::read_fault why) { return refuse(why); }),
       timer_(loop, [this] { tick(); })
 {
 }
@@ -47,12 +23,24 @@
     server_.stop_listening();
 }
 
+void door::limit(const decide::callers_rule& rule)
+{
+    http::server_limits limits = server_.limits();
+    limits.message_ = {rule.head_bytes_, rule.body_bytes_};
+    limits.arrival_ = std::max(rule.arrival_, http::server_limits().arrival_);
+    limits.idle_ = std::max(rule.idle_, http::server_limits().idle_);
+    server_.set_limits(limits);
+}
+
+http::response door::refuse(http::read_fault why)
+{
+    const code said = why == http::read_fault::malformed ? code::request_malformed : code::request_too_large;
+    ++metrics_.counter("guavahaven_requests_unreadable_total", "result=\"" + std::string(name(said)) + "\"");
+    return decide::error_response(entry_.protocol(), said);
+}
+
 void door::take_request(const std::shared_ptr<http::exchange>& e)
 {
-    if (too_large(e->received())) {
-        ++metrics_.counter("guavahaven_requests_too_large_total");
-        return e->reply(decide::error_response(code::request_too_large));
-    }
     last_exchange_ = last_exchange_.next();
     const decide::exchange_id id = last_exchange_;
     exchanges_[id].exchange_ = e;
--- a/src/caller/door.h
+++ b/src/caller/door.h
@@ -21,8 +21,12 @@
          std::function<void(const daemon_name&, const decide::entry_to_gate&, bool fresh)> to_gate);
 
     status listen(const http::address& at);
-    // Takes no further connections, and closes each open one with its next answer.
+    // Closes each connection with its next answer.
+    void say_last() { stopping_ = true; }
+    // Takes no further connections.
     void stop();
+    // Bounds on requests that begin from now on.
+    void limit(const decide::callers_rule& rule);
 
     void handle(const decide::entry_event& e);
     bool busy() const { return entry_.busy() || !server_.quiet(); }
@@ -33,6 +37,7 @@
         std::uint64_t given_ = 0; // bytes of the body
     };
 
+    http::response refuse(http::read_fault why);
     void take_request(const std::shared_ptr<http::exchange>& e);
     void apply(const decide::send_to_gate& a);
     void apply(const decide::reply& a);
--- /dev/null
+++ b/src/daemon/platform_task.h
@@ -0,0 +1,27 @@
+#pragma once
+
+// What a daemon asks of the task that talks to the platform.
+
+#include <set>
+#include <vector>
+
+#include "decide/control.h"
+
+namespace guavahaven {
+
+class platform_task {
+public:
+    virtual ~platform_task() = default;
+
+    // Reads what the daemon needs to serve, again and again until it succeeds.
+    virtual void start() = 0;
+    // Watches for changes, or leaves that to others.
+    virtual void watch(bool on) = 0;
+    // Keeps seeds of the own data centre: the first of these daemons.
+    virtual void keep_seeds(const std::vector<daemon_name>& candidates) = 0;
+    virtual void store_move(const decide::move_fact& fact) = 0;
+    // The services under a move, whose facts are to be known.
+    virtual void set_moving(const std::set<service_name>& services) = 0;
+};
+
+} // namespace guavahaven
--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -32,6 +32,25 @@
 
 balancer::balancer(data_center_name data_center) : data_center_(std::move(data_center)) {}
 
+// Instances of a service without a version of its own make up one pool, but
+// for the version that a move brings in; once it is done there are no others.
+std::optional<balancer::pool_key> balancer::pool_for(const view& known, const member& m)
+{
+    const service_rule* rule =
+        known.configuration_ ? known.configuration_->find_service(m.service_) : nullptr;
+    if (!rule || rule->version_.str() != any_version)
+        return pool_key{m.service_, m.version_};
+    const pool_key any{m.service_, rule->version_};
+    const move_rule* move = known.configuration_->find_move(m.service_);
+    if (!move)
+        return any;
+    const move_fact* fact = known.find_move(move->id());
+    const bool done = fact && fact->done_ && !fact->withdrawn_;
+    if (m.version_ == move->version_)
+        return pool_key{m.service_, m.version_};
+    return done ? std::nullopt : std::optional(any);
+}
+
 void balancer::set_view(const view& known, time_point now)
 {
     const bool first_view = gates_.empty();
@@ -43,8 +62,11 @@
                            (m.state_ == member_state::draining && !guarded(guard::drain_refusal));
         if (!takes || m.service_.empty() || out)
             continue;
+        const auto pool_of_member = pool_for(known, m);
+        if (!pool_of_member)
+            continue;
         gate_state& g = gates_[m.name_];
-        const pool_key key{m.service_, m.version_};
+        const pool_key& key = *pool_of_member;
         if (g.name_.empty() || g.incarnation_ != m.incarnation_ || g.pool_ != key) {
             const std::uint32_t in_flight = g.in_flight_;
             g = {};
--- a/src/decide/balancer.h
+++ b/src/decide/balancer.h
@@ -82,6 +82,7 @@
         std::vector<gate_state*> far_;
     };
 
+    static std::optional<pool_key> pool_for(const view& known, const member& m);
     static double expected_time(const gate_state& g, time_point now);
     static double report_weight(const gate_state& g, time_point now);
     static double capacity(const gate_state& g, time_point now);
--- a/src/decide/call_queue.cpp
+++ b/src/decide/call_queue.cpp
@@ -1,5 +1,7 @@
 #include "decide/call_queue.h"
 
+#include <tuple>
+
 namespace guavahaven::decide {
 
 namespace {
@@ -38,6 +40,7 @@
     }
     lane& l = lanes_[held.call_.class_];
     l.shed_ = held.shed_;
+    l.priority_ = held.priority_;
     l.weight_ = std::max<std::uint32_t>(1, held.weight_);
     if (l.calls_.empty())
         l.served_ = std::max(l.served_, least_served(l.shed_));
@@ -76,7 +79,8 @@
     for (auto& [name, l] : lanes_) {
         if (l.calls_.empty())
             continue;
-        if (!next || l.shed_ > next->shed_ || (l.shed_ == next->shed_ && l.served_ < next->served_))
+        if (!next || std::tuple(l.shed_, next->priority_, next->served_) >
+                         std::tuple(next->shed_, l.priority_, l.served_))
             next = &l;
     }
     if (!next)
--- a/src/decide/call_queue.h
+++ b/src/decide/call_queue.h
@@ -1,8 +1,8 @@
 #pragma once
 
-// Calls that wait for a slot at a gate. Classes that are shed last go first;
-// classes of one shed order share by weight; within a class the earliest
-// deadline goes first. Memory is bounded by count and bytes.
+// Calls that wait for a slot at a gate. Classes that are shed last go first, and
+// within a shed order those of the lowest priority number; others share by weight; within a class the
+// earliest deadline goes first. Memory is bounded by count and bytes.
 
 #include <map>
 #include <optional>
@@ -40,6 +40,7 @@
 private:
     struct lane {
         shed_order shed_ = shed_order::normal;
+        std::uint32_t priority_ = 0;
         std::uint32_t weight_ = 1;
         double served_ = 0; // calls per weight; the lane with the least goes next
         std::multimap<time_point, held_call> calls_;
--- a/src/decide/caller_protocol.cpp
+++ b/src/decide/caller_protocol.cpp
@@ -1,14 +1,18 @@
 #include "decide/caller_protocol.h"
 
+#include <array>
 #include <charconv>
+#include <cstdio>
 
 namespace guavahaven::decide {
 
 namespace {
 
 constexpr int status_failed = 500; // and all above
+constexpr int status_unavailable = 503;
+constexpr int status_too_many = 429;
 
-int http_status(code c)
+int usual_status(code c)
 {
     switch (c) {
     case code::no_route:
@@ -40,6 +44,8 @@
 
 std::optional<std::uint64_t> header_number(const http::request& request, std::string_view name)
 {
+    if (name.empty())
+        return {};
     const std::string text = http::find_header(request.headers_, name);
     std::uint64_t number = 0;
     const char* end = text.data() + text.size();
@@ -51,6 +57,8 @@
 
 void set_header(http::headers& headers, std::string_view name, const std::string& text)
 {
+    if (name.empty())
+        return;
     std::erase_if(headers, [name](const http::header& h) { return http::same_name(h.name_, name); });
     headers.push_back({std::string(name), text});
 }
@@ -60,10 +68,20 @@
     return response.status_ >= status_failed;
 }
 
-http::response error_response(code c)
+http::response error_response(const caller_protocol& protocol, code c, duration come_back)
 {
-    const std::string body = to_string(error{c, std::string(remedy(c))}) + "\n";
-    return {http_status(c), {{std::string(result_header), std::to_string(number(c))}}, body};
+    const auto own = protocol.statuses_.find(c);
+    http::response answer;
+    answer.status_ = own == protocol.statuses_.end() ? usual_status(c) : own->second;
+    answer.body_ = to_string(error{c, std::string(remedy(c))}) + "\n";
+    set_header(answer.headers_, protocol.result_header_, std::to_string(number(c)));
+    const bool not_run = answer.status_ == status_unavailable || answer.status_ == status_too_many;
+    if (not_run && come_back > duration::zero()) {
+        std::array<char, 32> text{};
+        std::snprintf(text.data(), text.size(), "%.2f", std::chrono::duration<double>(come_back).count());
+        set_header(answer.headers_, "Retry-After", text.data());
+    }
+    return answer;
 }
 
 } // namespace guavahaven::decide
--- a/src/decide/concurrency_limit.cpp
+++ b/src/decide/concurrency_limit.cpp
@@ -24,7 +24,8 @@
 
 void concurrency_limit::cold_start(time_point now)
 {
-    limit_ = std::min(cold_limit, most_);
+    if (!stated_)
+        limit_ = std::min(cold_limit, most_);
     probe_ = {};
     probe_wait_ = probe_wait_least;
     next_probe_ = now + cold_time;
@@ -39,6 +40,13 @@
     limit_ = std::min(limit_, most_);
 }
 
+void concurrency_limit::state(std::uint32_t slots, std::uint32_t connections)
+{
+    stated_ = true;
+    set_most(slots, connections);
+    limit_ = most_;
+}
+
 bool concurrency_limit::admits(std::size_t running, time_point now) const
 {
     if (running < limit_ || !guarded(guard::cold_limit))
@@ -114,6 +122,8 @@
 // the limit fall once.
 void concurrency_limit::fall(std::uint32_t to, time_point now)
 {
+    if (stated_)
+        return;
     limit_ = std::clamp<std::uint32_t>(to, 1, most_);
     fell_ = now;
     probe_ = {};
--- a/src/decide/concurrency_limit.h
+++ b/src/decide/concurrency_limit.h
@@ -23,6 +23,9 @@
     // The most that the backend server announces to bear.
     void set_most(std::uint32_t slots, std::uint32_t connections);
 
+    // The backend server states its slots and its cold times, and is believed.
+    void state(std::uint32_t slots, std::uint32_t connections);
+
     // True if one more run may start beside those under way.
     bool admits(std::size_t running, time_point now) const;
     // A run that admits() allowed has started beside 'running' others.
@@ -47,6 +50,7 @@
     void fall(std::uint32_t to, time_point now);
     void watch_slowdown(const std::string& route, double took_us, time_point started, time_point now);
 
+    bool stated_ = false;
     std::uint32_t limit_ = 0;
     std::uint32_t most_ = 1;
     run_id probe_; // the run above the limit; 0 if none
--- a/src/decide/configuration.cpp
+++ b/src/decide/configuration.cpp
@@ -17,11 +17,17 @@
 
 move_id move_rule::id() const
 {
-    const std::string identity =
-        service_.str() + '\n' + version_.str() + '\n' + std::to_string(deadline_.time_since_epoch().count());
+    const std::string order = order_.empty() ? std::to_string(deadline_.time_since_epoch().count()) : order_;
+    const std::string identity = service_.str() + '\n' + version_.str() + '\n' + order;
     return move_id(hash(identity));
 }
 
+bool route_rule::leads_to(const service_name& name) const
+{
+    return std::any_of(services_.begin(), services_.end(),
+                       [&](const weighted_service& part) { return part.service_ == name; });
+}
+
 const class_rule* configuration::find_class(const class_name& name) const
 {
     return find(classes_, [&](const class_rule& r) { return r.name_ == name; });
--- a/src/decide/configuration.h
+++ b/src/decide/configuration.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/clock.h"
@@ -31,18 +32,34 @@
     class_name name_;
     duration deadline_{};
     shed_order shed_ = shed_order::normal;
-    bool once_ = false; // at most once, even for methods that may be repeated
-    bool keep_ = false; // queued until its deadline instead of refused early
+    bool once_ = false;   // at most once, even for methods that may be repeated
+    bool repeat_ = false; // may be repeated, whatever the method
+    bool keep_ = false;   // queued until its deadline instead of refused early
     std::uint32_t weight_ = 1;
+    duration objective_{};       // a later answer is worth less; zero if none is stated
+    std::uint32_t priority_ = 0; // among classes of one shed order; the lowest goes first
+    std::uint32_t attempts_ = 0; // backend servers that one request may reach; 0: as the service says
     origin origin_;
 
     friend bool operator==(const class_rule&, const class_rule&) = default;
 };
 
+// The version of a service whose instances are told apart by moves alone.
+inline constexpr std::string_view any_version = "*";
+
+// What a backend server bears after a cold start.
+struct cold_rule {
+    std::uint32_t per_second_ = 0; // requests begun
+    duration length_{};            // after its start
+
+    friend bool operator==(const cold_rule&, const cold_rule&) = default;
+};
+
 // A service and the version that serves when no move or split says otherwise.
 struct service_rule {
     service_name name_;
-    version_name version_;
+    version_name version_; // any_version: all but one that a move brings in
+    std::optional<cold_rule> cold_;
     origin origin_;
 
     friend bool operator==(const service_rule&, const service_rule&) = default;
@@ -55,16 +72,27 @@
     friend bool operator==(const header_match&, const header_match&) = default;
 };
 
-// Requests that go to a service. Method "*" matches all.
+// A part of a route's requests, by weight among the route's other parts.
+struct weighted_service {
+    service_name service_;
+    std::uint32_t weight_ = 1;
+
+    friend bool operator==(const weighted_service&, const weighted_service&) = default;
+};
+
+// Requests that go to a service, or to several by weight. Method "*" matches all.
 struct route_rule {
     std::string method_;
     std::string path_;    // without the '/*' of a prefix
     bool prefix_ = false; // matches the path and all below it
+    std::string host_;    // any if empty
     std::optional<header_match> header_;
-    service_name service_;
+    std::vector<weighted_service> services_; // one at least
     class_name class_;
     origin origin_;
 
+    bool leads_to(const service_name& name) const;
+
     friend bool operator==(const route_rule&, const route_rule&) = default;
 };
 
@@ -100,7 +128,8 @@
 // How many of a service's calls may be sent again.
 struct retry_rule {
     service_name service_;
-    double budget_ = 0.1; // retries per first attempt
+    double budget_ = 0.1;       // retries per first attempt
+    std::uint32_t reserve_ = 0; // retries at once over the whole fleet; 0: a few for each daemon
     std::uint32_t attempts_ = 3;
     origin origin_;
 
@@ -113,6 +142,7 @@
     version_name version_;
     wall_time deadline_{};
     double start_share_ = 0.01; // of 1
+    std::string order_;         // tells moves to one version apart; empty: the deadline does
     origin origin_;
 
     move_id id() const;
@@ -128,6 +158,17 @@
     friend bool operator==(const out_rule&, const out_rule&) = default;
 };
 
+// Bounds on what a caller may send, and how long it may take.
+struct callers_rule {
+    std::uint64_t head_bytes_ = 0;
+    std::uint64_t body_bytes_ = 0;
+    duration arrival_{}; // of a request's head
+    duration idle_{};    // of a kept connection
+    origin origin_;
+
+    friend bool operator==(const callers_rule&, const callers_rule&) = default;
+};
+
 struct configuration {
     configuration_number number_;
     content_hash hash_;
@@ -141,6 +182,7 @@
     std::vector<retry_rule> retries_;
     std::vector<move_rule> moves_;
     std::vector<out_rule> outs_;
+    std::optional<callers_rule> callers_;
 
     const class_rule* find_class(const class_name& name) const;
     const service_rule* find_service(const service_name& name) const;
--- a/src/decide/control.cpp
+++ b/src/decide/control.cpp
@@ -23,8 +23,8 @@
 } // namespace
 
 control::control(member self, std::uint64_t seed, configuration_parser parse, time_point now)
-    : membership_(std::move(self), now), distribution_(std::move(parse)), readiness_(now), random_(seed),
-      started_(now), last_tick_(now)
+    : membership_(std::move(self), now), parse_(parse), distribution_(std::move(parse)), readiness_(now),
+      random_(seed), started_(now), last_tick_(now)
 {
     publish(now);
 }
@@ -47,6 +47,13 @@
     settle(distribution_.offer(e.record_), daemon_name());
 }
 
+void control::on(const platform_orders& e, time_point)
+{
+    spread(e.subject_start_.empty() ? orders_.merge(e.orders_)
+                                    : orders_.merge_all(e.subject_start_, e.orders_, e.revision_),
+           daemon_name());
+}
+
 void control::on(const platform_asked& e, time_point now)
 {
     readiness_.platform_asked(e.answered_);
@@ -89,7 +96,7 @@
 
 void control::on(const own_evidence& e, time_point)
 {
-    const configuration_ptr& c = distribution_.configuration();
+    const configuration_ptr& c = rules_;
     if (!c)
         return;
     for (evidence item : e.items_) {
@@ -220,6 +227,8 @@
     }
     if (m.moves_ != moves_.hash())
         send(from, move_facts{moves_.facts()});
+    if (m.orders_ != orders_.hash())
+        send(from, orders{orders_.orders()});
     send(from, digest_received{});
 }
 
@@ -303,6 +312,45 @@
     moves_.merge(m.items_);
 }
 
+void control::take(const daemon_name& from, const orders& m, time_point)
+{
+    spread(orders_.merge(m.orders_), from);
+}
+
+void control::spread(const std::vector<order>& news, const daemon_name& from)
+{
+    if (news.empty())
+        return;
+    tell_neighbours(orders{news}, from);
+    combine();
+}
+
+// An order that doesn't fit the rules, such as a move of a service that they
+// do not name, is left out; the others stand.
+void control::combine()
+{
+    rules_ = distribution_.configuration();
+    if (!rules_)
+        return;
+    configuration_record whole = *distribution_.record();
+    for (const order& o : orders_.orders()) {
+        if (o.rule_.empty())
+            continue;
+        configuration_record more = whole;
+        more.text_ += (more.text_.ends_with('\n') ? "" : "\n") + o.rule_ + "\n";
+        result<configuration> read = parse_(more);
+        if (!ok(read)) {
+            actions_.push_back(report_problem{failure(read)});
+            continue;
+        }
+        whole = std::move(more);
+        rules_ = std::make_shared<const configuration>(value(read));
+    }
+    moves_.set_configuration(*rules_);
+    returns_.set_configuration(*rules_, last_tick_);
+    configuration_stale_ = true;
+}
+
 void control::settle(const offer_outcome& outcome, const daemon_name& from)
 {
     if (outcome.problem_)
@@ -314,9 +362,7 @@
     }
     if (!outcome.adopted_)
         return;
-    moves_.set_configuration(*distribution_.configuration());
-    returns_.set_configuration(*distribution_.configuration(), last_tick_);
-    configuration_stale_ = true;
+    combine();
     if (const auto change = distribution_.last_change())
         tell_neighbours(*change, from);
     else
@@ -372,24 +418,24 @@
 
 digest control::own_digest() const
 {
-    return {membership_.hash(), moves_.hash(), distribution_.number(), distribution_.hash()};
+    return {membership_.hash(), moves_.hash(), orders_.hash(), distribution_.number(), distribution_.hash()};
 }
 
 // Until the daemon is ready, the view has no configuration, so that nothing is served.
 void control::publish(time_point now)
 {
-    const configuration_ptr shown = readiness_.ready() ? distribution_.configuration() : nullptr;
+    const configuration_ptr shown = readiness_.ready() ? rules_ : nullptr;
     view_ = std::make_shared<const view>(
         view{shown, membership_.members(), effective_moves(), returns_.returning(now)});
     view_stale_ = false;
-    configuration_stale_ = shown != distribution_.configuration();
+    configuration_stale_ = shown != rules_;
     last_flush_ = now;
     actions_.push_back(publish_view{view_});
 }
 
 void control::judge_moves()
 {
-    const configuration_ptr& c = distribution_.configuration();
+    const configuration_ptr& c = rules_;
     if (!c)
         return;
     const std::vector<move_fact> changed = moves_.tick(*c, view_->members_, self().name_, wall_);
@@ -402,7 +448,7 @@
 
 std::vector<move_fact> control::effective_moves() const
 {
-    const configuration_ptr& c = distribution_.configuration();
+    const configuration_ptr& c = rules_;
     return c ? moves_.effective_facts(*c, wall_) : std::vector<move_fact>{};
 }
 
--- a/src/decide/control.h
+++ b/src/decide/control.h
@@ -16,6 +16,7 @@
 #include "decide/failure_detector.h"
 #include "decide/membership.h"
 #include "decide/move_tracker.h"
+#include "decide/order_book.h"
 #include "decide/readiness.h"
 
 namespace guavahaven::decide {
@@ -30,6 +31,13 @@
     configuration_record record_;
     friend bool operator==(const platform_configuration&, const platform_configuration&) = default;
 };
+// Orders as the platform holds them, as of a revision.
+struct platform_orders {
+    std::vector<order> orders_;
+    std::string subject_start_; // all subjects that start so were read; empty: only these changed
+    std::uint64_t revision_ = 0;
+    friend bool operator==(const platform_orders&, const platform_orders&) = default;
+};
 // The platform answered a read of the configuration (there may be none yet), or did not.
 struct platform_asked {
     bool answered_ = false;
@@ -68,8 +76,9 @@
 struct leave_requested {
     friend bool operator==(const leave_requested&, const leave_requested&) = default;
 };
-using control_event = std::variant<control_received, platform_configuration, platform_asked, seeds_known,
-                                   platform_moves, own_backend, own_evidence, control_tick, leave_requested>;
+using control_event =
+    std::variant<control_received, platform_configuration, platform_orders, platform_asked, seeds_known,
+                 platform_moves, own_backend, own_evidence, control_tick, leave_requested>;
 
 struct publish_view {
     view_ptr view_;
@@ -118,6 +127,7 @@
 
     void on(const control_received& e, time_point now);
     void on(const platform_configuration& e, time_point now);
+    void on(const platform_orders& e, time_point now);
     void on(const platform_asked& e, time_point now);
     void on(const seeds_known& e, time_point now);
     void on(const platform_moves& e, time_point now);
@@ -140,8 +150,12 @@
     void take(const daemon_name& from, const configuration_delta& m, time_point now);
     void take(const daemon_name& from, const move_facts& m, time_point now);
     void take(const daemon_name& from, const evidence_report& m, time_point now);
+    void take(const daemon_name& from, const orders& m, time_point now);
 
     // Acts on what became of a configuration offered by a daemon, or the platform if empty.
+    void spread(const std::vector<order>& news, const daemon_name& from);
+    // Puts rules file and orders together.
+    void combine();
     void settle(const offer_outcome& outcome, const daemon_name& from);
     void meet_seeds();
     void exchange_digests(time_point now);
@@ -164,7 +178,10 @@
 
     membership membership_;
     failure_detector detector_;
+    configuration_parser parse_;
     distribution distribution_;
+    order_book orders_;
+    configuration_ptr rules_; // in force: rules file and orders
     readiness readiness_;
     move_tracker moves_;
     return_tracker returns_;
--- a/src/decide/entry.cpp
+++ b/src/decide/entry.cpp
@@ -16,6 +16,8 @@
 constexpr duration fence_timeout = std::chrono::milliseconds(500);   // until a fence is given up
 constexpr duration expiry_grace = std::chrono::milliseconds(100);    // for the fate of an expired request
 constexpr std::uint64_t wait_most = 86'400'000;                      // milliseconds a caller may ask for
+constexpr duration come_back_least = std::chrono::milliseconds(100); // for a request that has not run
+constexpr duration come_back_most = std::chrono::milliseconds(500);
 constexpr int status_shed = 503; // the backend server had no room, or none of its own
 
 // True for codes that tell a caller that its request has not run.
@@ -40,14 +42,18 @@
 {
     if (refused == code::limit_reached)
         return attempt_end::dropped;
+    if (refused == code::backend_refused)
+        return attempt_end::failed;
     return refused == code::overloaded || refused == code::deadline_exceeded ? attempt_end::refused
                                                                              : attempt_end::unreachable;
 }
 
 } // namespace
 
-entry::entry(daemon_name self, incarnation started, data_center_name data_center, std::uint64_t seed)
-    : self_(std::move(self)), started_(started), random_(seed), balancer_(std::move(data_center))
+entry::entry(daemon_name self, incarnation started, data_center_name data_center, std::uint64_t seed,
+             caller_protocol protocol)
+    : self_(std::move(self)), started_(started), random_(seed), protocol_(std::move(protocol)),
+      balancer_(std::move(data_center))
 {
 }
 
@@ -66,7 +72,9 @@
 
 void entry::on(const caller_request& e, time_point now)
 {
-    const auto refuse = [&](code why) { actions_.push_back(reply{e.exchange_, error_response(why), true}); };
+    const auto refuse = [&](code why) {
+        actions_.push_back(reply{e.exchange_, error_response(protocol_, why, come_back()), true});
+    };
     if (!view_ || !view_->configuration_)
         return refuse(code::starting);
     const configuration& c = *view_->configuration_;
@@ -74,7 +82,8 @@
     if (!route)
         return refuse(code::no_route);
     const class_rule* class_of_route = c.find_class(route->class_);
-    const auto depth = static_cast<std::uint32_t>(header_number(e.request_, depth_header).value_or(0));
+    const auto depth =
+        static_cast<std::uint32_t>(header_number(e.request_, protocol_.depth_header_).value_or(0));
     if (depth > depth_most)
         return refuse(code::call_depth_exceeded);
 
@@ -82,24 +91,75 @@
     r.exchange_ = e.exchange_;
     r.started_ = now;
     duration wait = class_of_route->deadline_;
-    if (const auto asked = header_number(e.request_, deadline_header))
+    if (const auto asked = header_number(e.request_, protocol_.deadline_header_))
         wait = std::min<duration>(wait, std::chrono::milliseconds(std::min(*asked, wait_most)));
     r.deadline_ = now + wait;
-    r.call_.once_ = class_of_route->once_ || !idempotent(e.request_.method_);
-    r.call_.service_ = route->service_;
+    r.call_.once_ = class_of_route->once_ || (!class_of_route->repeat_ && !idempotent(e.request_.method_));
+    r.call_.service_ = choose_service(*route);
     r.call_.class_ = route->class_;
-    r.call_.route_ = route->method_ + " " + route->path_;
+    r.call_.route_ = route->method_ + " " + route->host_ + route->path_;
     r.call_.configuration_ = c.number_;
     r.call_.depth_ = depth;
     r.call_.request_ = e.request_;
-    r.call_.version_ = choose_version(route->service_);
-    r.tried_ = draw_left_aside(*view_, route->service_, random_, now);
-    r.call_.identity_ = http::find_header(e.request_.headers_, key_header);
-    r.call_.keyed_ = !r.call_.identity_.empty();
-    budgets_[route->service_].earn(c.retry_of(route->service_).budget_);
+    r.call_.version_ = choose_version(r.call_.service_);
+    r.tried_ = draw_left_aside(*view_, r.call_.service_, random_, now);
+    const std::string& identity_header =
+        protocol_.caller_names_requests_ ? protocol_.identity_header_ : protocol_.key_header_;
+    r.call_.identity_ = http::find_header(e.request_.headers_, identity_header);
+    r.call_.keyed_ = !protocol_.caller_names_requests_ && !r.call_.identity_.empty();
+    const retry_rule retries = c.retry_of(r.call_.service_);
+    r.attempts_most_ = class_of_route->attempts_ == 0 ? retries.attempts_ : class_of_route->attempts_;
+    retry_budget& budget = budgets_[r.call_.service_];
+    if (retries.reserve_ > 0)
+        budget.set_most(reserve_part(retries.reserve_));
+    budget.earn(retries.budget_);
+    set_header(r.call_.request_.headers_, protocol_.caller_service_header_, own_service());
     attempt(r, now, code::no_backend_server);
 }
 
+// By weight; a part that has no room turns its requests away, so that the weights stay true.
+service_name entry::choose_service(const route_rule& route)
+{
+    if (route.services_.size() == 1)
+        return route.services_.front().service_;
+    double sum = 0;
+    for (const weighted_service& part : route.services_)
+        sum += part.weight_;
+    double draw = random_share(random_) * sum;
+    for (const weighted_service& part : route.services_) {
+        draw -= part.weight_;
+        if (draw < 0)
+            return part.service_;
+    }
+    return route.services_.back().service_;
+}
+
+// Drawn at random, so that callers who were turned away together come back apart.
+duration entry::come_back()
+{
+    const double part = random_share(random_);
+    return come_back_least + duration(static_cast<duration::rep>(
+                                 part * static_cast<double>((come_back_most - come_back_least).count())));
+}
+
+// This daemon's part of what the whole fleet may spend at once.
+double entry::reserve_part(std::uint32_t reserve) const
+{
+    const auto alive = std::count_if(view_->members_.begin(), view_->members_.end(),
+                                     [](const member& m) { return m.state_ == member_state::alive; });
+    return static_cast<double>(reserve) / static_cast<double>(std::max<std::ptrdiff_t>(1, alive));
+}
+
+std::string entry::own_service() const
+{
+    if (!protocol_.caller_service_.empty())
+        return protocol_.caller_service_;
+    const auto& members = view_->members_;
+    const auto at =
+        std::find_if(members.begin(), members.end(), [this](const member& m) { return m.name_ == self_; });
+    return at == members.end() ? "" : at->service_.str();
+}
+
 // The version of one call: by the move's share, else the split, else the service line.
 version_name entry::choose_version(const service_name& service)
 {
@@ -157,9 +217,10 @@
     r.call_.remaining_ = r.deadline_ - now;
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(r.call_.remaining_);
     http::headers& headers = r.call_.request_.headers_;
-    set_header(headers, deadline_header, std::to_string(left.count()));
-    set_header(headers, depth_header, std::to_string(r.call_.depth_ + 1));
-    set_header(headers, identity_header, r.call_.identity_);
+    set_header(headers, protocol_.deadline_header_, std::to_string(left.count()));
+    set_header(headers, protocol_.depth_header_, std::to_string(r.call_.depth_ + 1));
+    if (!protocol_.caller_names_requests_)
+        set_header(headers, protocol_.identity_header_, r.call_.identity_);
     balancer_.began(gate);
     attempts_[r.call_.id_] = r.exchange_;
     wake_at(r, std::min(r.deadline_, now + receipt_timeout));
@@ -220,7 +281,7 @@
         return; // doubled
     const bool shed = m.response_.status_ == status_shed;
     const bool settled = r.call_.once_ || !m.complete_ || !shed ||
-                         !http::find_header(m.response_.headers_, retried_header).empty();
+                         !http::find_header(m.response_.headers_, protocol_.retried_header_).empty();
     if (!settled && may_retry(r, now)) {
         close_attempt(r, attempt_end::failed, now);
         r.maybe_ran_ = true;
@@ -230,9 +291,9 @@
     r.answering_ = true;
     r.passed_ = m.response_.body_.size();
     http::response whole = m.response_;
-    set_header(whole.headers_, result_header, "0");
+    set_header(whole.headers_, protocol_.result_header_, "0");
     if (failed(whole))
-        set_header(whole.headers_, retried_header, "1");
+        set_header(whole.headers_, protocol_.retried_header_, "1");
     const attempt_end how = failed(whole) ? attempt_end::failed : attempt_end::answered;
     actions_.push_back(reply{r.exchange_, std::move(whole), m.complete_});
     if (!m.complete_)
@@ -302,7 +363,7 @@
 {
     if (now >= r.deadline_)
         return fail(r, now, why);
-    const bool costly = why == code::overloaded;
+    const bool costly = why == code::backend_refused;
     if (costly ? !may_retry(r, now) : ++r.redirects_ > redirects_most)
         return fail(r, now, why);
     if (why == code::version_withdrawn) // the gate learned of it first
@@ -312,8 +373,7 @@
 
 bool entry::may_retry(request_state& r, time_point now)
 {
-    const retry_rule rule = view_->configuration_->retry_of(r.call_.service_);
-    if (now >= r.deadline_ || r.retries_ + 1 >= rule.attempts_ || !budgets_[r.call_.service_].spend())
+    if (now >= r.deadline_ || r.retries_ + 1 >= r.attempts_most_ || !budgets_[r.call_.service_].spend())
         return false;
     ++r.retries_;
     return true;
@@ -358,8 +418,8 @@
 
 void entry::on(const entry_view_changed& e, time_point now)
 {
-    const bool same =
-        view_ && view_->configuration_ == e.view_->configuration_ && view_->members_ == e.view_->members_;
+    const bool same = view_ && view_->configuration_ == e.view_->configuration_ &&
+                      view_->members_ == e.view_->members_ && view_->moves_ == e.view_->moves_;
     view_ = e.view_;
     if (!same)
         balancer_.set_view(*view_, now);
@@ -405,8 +465,8 @@
 void entry::fail(request_state& r, time_point now, code why)
 {
     const code said = r.maybe_ran_ && claims_not_run(why) ? code::outcome_unknown : why;
-    http::response answer = error_response(said);
-    set_header(answer.headers_, retried_header, "1");
+    http::response answer = error_response(protocol_, said, come_back());
+    set_header(answer.headers_, protocol_.retried_header_, "1");
     actions_.push_back(reply{r.exchange_, std::move(answer), true});
     end(r, now, said);
 }
@@ -414,9 +474,9 @@
 // A caller that repeats a request learns how the first one ended.
 void entry::tell_duplicate(request_state& r, time_point now, int earlier_status)
 {
-    http::response told = error_response(code::duplicate_request);
+    http::response told = error_response(protocol_, code::duplicate_request);
     if (earlier_status != 0)
-        set_header(told.headers_, earlier_status_header, std::to_string(earlier_status));
+        set_header(told.headers_, protocol_.earlier_status_header_, std::to_string(earlier_status));
     actions_.push_back(reply{r.exchange_, std::move(told), true});
     end(r, now, code::duplicate_request);
 }
--- a/src/decide/entry.h
+++ b/src/decide/entry.h
@@ -93,11 +93,13 @@
 
 class entry {
 public:
-    entry(daemon_name self, incarnation started, data_center_name data_center, std::uint64_t seed);
+    entry(daemon_name self, incarnation started, data_center_name data_center, std::uint64_t seed,
+          caller_protocol protocol = {});
 
     entry_actions handle(const entry_event& event, time_point now);
 
     bool busy() const { return !requests_.empty(); }
+    const caller_protocol& protocol() const { return protocol_; }
 
     // When a tick is wanted next; empty if nothing is under way.
     std::optional<time_point> next_due() const;
@@ -111,9 +113,10 @@
         time_point due_;
         daemon_name gate_;
         time_point sent_;
-        std::uint32_t retries_ = 0;   // after attempts that cost a gate or backend server something
-        std::uint32_t redirects_ = 0; // after refusals that cost nobody anything
-        bool received_ = false;       // the gate has acknowledged it
+        std::uint32_t retries_ = 0;       // after attempts that cost a gate or backend server something
+        std::uint32_t attempts_most_ = 0; // backend servers that it may reach
+        std::uint32_t redirects_ = 0;     // after refusals that cost nobody anything
+        bool received_ = false;           // the gate has acknowledged it
         bool fenced_ = false;
         bool expired_ = false;     // past its deadline; only its fate is still asked for
         bool maybe_ran_ = false;   // an earlier attempt may have run
@@ -137,7 +140,13 @@
     void take(request_state& r, const broken& m, time_point now);
     void take(request_state& r, const fence_verdict& m, time_point now);
 
+    service_name choose_service(const route_rule& route);
     version_name choose_version(const service_name& service);
+    // When a caller whose request has not run should come back.
+    duration come_back();
+    double reserve_part(std::uint32_t reserve) const;
+    // The service beside this daemon; empty if none is known.
+    std::string own_service() const;
     std::optional<daemon_name> choose_gate(request_state& r, time_point now);
     void attempt(request_state& r, time_point now, code last_failure);
     void send_attempt(request_state& r, const daemon_name& gate, time_point now);
@@ -159,6 +168,7 @@
     daemon_name self_;
     incarnation started_;
     random_engine random_;
+    caller_protocol protocol_;
     view_ptr view_;
     balancer balancer_;
     std::map<service_name, retry_budget> budgets_;
--- a/src/decide/gate.cpp
+++ b/src/decide/gate.cpp
@@ -9,8 +9,9 @@
 
 namespace {
 
-constexpr int status_shed = 503;        // the backend server's own refusal
-constexpr std::size_t waiters_most = 8; // attempts that share the answer of one run
+constexpr int status_shed = 503;                 // the backend server's own refusal
+constexpr std::uint32_t cold_rate_unstated = 10; // requests a second that a cold backend server bears
+constexpr std::size_t waiters_most = 8;          // attempts that share the answer of one run
 constexpr std::uint64_t first_configuration = 1;
 
 } // namespace
@@ -39,7 +40,29 @@
 load_report gate::load() const
 {
     return {static_cast<std::uint32_t>(running_.size()), static_cast<std::uint32_t>(waiting_.size()),
-            limit_.value()};
+            cold_ ? std::min(limit_.value(), cold_limit()) : limit_.value()};
+}
+
+// Runs at once that the rate of a cold backend server comes to.
+std::uint32_t gate::cold_limit() const
+{
+    const double mean = std::chrono::duration<double>(limit_.mean_run()).count();
+    return static_cast<std::uint32_t>(std::max(1.0, mean * cold_rate()));
+}
+
+std::uint32_t gate::cold_rate() const
+{
+    const service_rule* rule = backend_ && view_ && view_->configuration_
+                                   ? view_->configuration_->find_service(backend_->service_)
+                                   : nullptr;
+    return rule && rule->cold_ ? rule->cold_->per_second_ : cold_rate_unstated;
+}
+
+bool gate::has_room(time_point now) const
+{
+    if (!backend_ || !backend_->cold_left_)
+        return limit_.admits(running_.size(), now);
+    return running_.size() < limit_.value() && pace_.admits(cold_rate(), now);
 }
 
 std::vector<evidence> gate::collect_evidence(time_point now)
@@ -53,10 +76,21 @@
 {
     const bool fresh = !backend_ || backend_->version_ != e.version_ || backend_->service_ != e.service_ ||
                        backend_->start_ != e.start_;
-    limit_.set_most(e.slots_, e.connections_);
+    if (e.cold_left_) {
+        limit_.state(e.slots_, e.connections_);
+        pace_.stated(*e.cold_left_, now);
+    }
+    else {
+        limit_.set_most(e.slots_, e.connections_);
+    }
     if (fresh)
         limit_.cold_start(now);
+    const bool restarted = e.start_ != backend_start_ && backend_start_ != 0;
+    for (const held_call& held : std::exchange(broken_off_, {}))
+        if (restarted)
+            note_crash(held, now);
     backend_ = e;
+    cold_ = pace_.cold(now);
     if (fresh)
         divide_limits(now);
     backend_start_ = e.start_;
@@ -67,6 +101,11 @@
 }
 
 void gate::on(const backend_lost&, time_point now)
+{
+    lose_backend(now);
+}
+
+void gate::lose_backend(time_point now)
 {
     backend_.reset();
     for (const held_call& held : waiting_.take_all())
@@ -96,6 +135,19 @@
     return view_ && view_->configuration_ && view_->configuration_->find_out(data_center_);
 }
 
+// A call for any version is not for the one that a move brings in, before it is done.
+bool gate::serves(const version_name& version) const
+{
+    if (version.str() != any_version || !view_ || !view_->configuration_)
+        return backend_->version_ == version;
+    const move_rule* move = view_->configuration_->find_move(backend_->service_);
+    if (!move)
+        return true;
+    const move_fact* fact = view_->find_move(move->id());
+    const bool done = fact && fact->done_ && !fact->withdrawn_;
+    return done == (backend_->version_ == move->version_);
+}
+
 code gate::admission(const call& c) const
 {
     if (stopping_)
@@ -104,7 +156,7 @@
         return code::no_backend_server;
     if (backend_->draining_ && guarded(guard::drain_refusal))
         return code::draining;
-    if (backend_->version_ != c.version_)
+    if (!serves(c.version_))
         return code::not_run;
     if (!view_ || !view_->configuration_)
         return code::starting;
@@ -112,7 +164,7 @@
         return code::data_center_out;
     const move_rule* move = view_->configuration_->find_move(c.service_);
     const move_fact* fact = move ? view_->find_move(move->id()) : nullptr;
-    if (fact && fact->withdrawn_ && fact->version_ == c.version_ && guarded(guard::withdrawn_refusal))
+    if (fact && fact->withdrawn_ && fact->version_ == backend_->version_ && guarded(guard::withdrawn_refusal))
         return code::version_withdrawn;
     return code::ok;
 }
@@ -134,6 +186,7 @@
         return refuse(key, why, now);
 
     held_call held = make_held(key, c, now);
+    held.call_.version_ = backend_->version_;
     if (too_late(held, now))
         return refuse(key, code::overloaded, now);
     const auto count = [this](const std::optional<class_name>& of) { return held_count(of); };
@@ -217,6 +270,7 @@
     held.shed_ = rule->shed_;
     held.keep_ = rule->keep_;
     held.weight_ = rule->weight_;
+    held.priority_ = rule->priority_;
     return held;
 }
 
@@ -234,10 +288,12 @@
 {
     if (now >= held.deadline_)
         return true;
-    if (held.keep_ || limit_.admits(running_.size() + waiting_.size(), now))
+    if (held.keep_ || (waiting_.empty() && has_room(now)))
         return false;
     const auto before = static_cast<duration::rep>(waiting_.ahead_of(held.shed_) + 1);
-    const duration wait = limit_.mean_run() * before / std::max<duration::rep>(1, limit_.value());
+    duration wait = limit_.mean_run() * before / std::max<duration::rep>(1, limit_.value());
+    if (cold_)
+        wait = std::max<duration>(wait, std::chrono::seconds(1) * before / cold_rate());
     return now + wait + limit_.mean_run() > held.deadline_;
 }
 
@@ -250,7 +306,7 @@
 
 void gate::start_waiting(time_point now)
 {
-    while (!waiting_.empty() && limit_.admits(running_.size(), now)) {
+    while (!waiting_.empty() && has_room(now)) {
         held_call next = std::move(*waiting_.pop());
         if (next.deadline_ <= now)
             refuse(next, code::deadline_exceeded, now);
@@ -267,8 +323,9 @@
 {
     last_run_ = last_run_.next();
     limit_.started(last_run_, running_.size());
+    pace_.began(now);
     held.started_ = now;
-    actions_.push_back(start_run{last_run_, held.call_.request_, held.deadline_ - now});
+    actions_.push_back(start_run{last_run_, held.call_.request_, held.deadline_ - now, backend_->instance_});
     evidence_.run_started(last_run_, held.call_, *view_->configuration_, now);
     running_.emplace(last_run_, std::move(held));
 }
@@ -340,6 +397,7 @@
         return;
     evidence_.run_answered(e.run_, e.response_.status_, e.complete_, now);
     held_call& held = at->second;
+    pace_.answered(held.started_);
     const bool shed = e.response_.status_ == status_shed;
     if (shed)
         limit_.shed(e.run_, held.started_, now);
@@ -383,6 +441,30 @@
     running_.erase(at);
     limit_.cold_start(now);
     refuse(held, code::backend_unreachable, now);
+    if (backend_ && backend_->cold_left_) {
+        lose_backend(now);
+        actions_.push_back(backend_down{});
+    }
+    start_waiting(now);
+}
+
+void gate::on(const run_refused& e, time_point now)
+{
+    const auto at = running_.find(e.run_);
+    if (at == running_.end())
+        return;
+    evidence_.run_dropped(e.run_);
+    const held_call held = std::move(at->second);
+    running_.erase(at);
+    if (!e.misdirected_)
+        limit_.shed(e.run_, held.started_, now);
+    limit_.ended(e.run_);
+    refuse(held, e.misdirected_ ? code::backend_unreachable : code::backend_refused, now);
+    // Another instance has taken its place, of which nothing is known yet.
+    if (e.misdirected_ && backend_) {
+        lose_backend(now);
+        actions_.push_back(backend_down{});
+    }
     start_waiting(now);
 }
 
@@ -401,7 +483,15 @@
     }
     else {
         limit_.cold_start(now); // it has died, and comes back cold
-        note_crash(at->second, now);
+        if (backend_ && backend_->cold_left_) {
+            // It may only have cut the connection: its next announcement tells.
+            pace_.assume(now);
+            cold_ = true;
+            broken_off_.push_back(at->second);
+        }
+        else {
+            note_crash(at->second, now);
+        }
     }
     answer_all(at->second, [&](call_id id) { return broken{id, code::outcome_unknown, load()}; });
     end_run(at, 0, now);
@@ -424,8 +514,10 @@
     const bool was_out = out();
     view_ = e.view_;
     divide_limits(now);
-    if (was_out && !out())
+    if (was_out && !out()) {
         limit_.cold_start(now); // what was warm there has cooled down
+        pace_.assume(now);
+    }
     const configuration_ptr& c = view_->configuration_;
     if (c && c->number_.value() == first_configuration && c->written_at_ > started_.value())
         registry_.set_complete();
@@ -433,6 +525,7 @@
 
 void gate::on(const gate_tick&, time_point now)
 {
+    cold_ = pace_.cold(now) && backend_ && backend_->cold_left_;
     for (const held_call& held : waiting_.take_expired(now))
         refuse(held, code::deadline_exceeded, now);
     tend_claims(now);
--- a/src/decide/gate.h
+++ b/src/decide/gate.h
@@ -14,6 +14,7 @@
 #include "decide/call_limiter.h"
 #include "decide/call_memory.h"
 #include "decide/call_queue.h"
+#include "decide/cold_pace.h"
 #include "decide/concurrency_limit.h"
 #include "decide/evidence_book.h"
 #include "decide/key_home.h"
@@ -29,6 +30,9 @@
     std::uint32_t connections_ = 0;
     bool draining_ = false;
     std::uint64_t start_ = 0; // differs between starts of the backend server; 0 if not announced
+    std::string instance_{};  // its own name; empty if it has none
+    // How much longer it is cold, if it says so; its slots then bound its runs.
+    std::optional<duration> cold_left_{};
     friend bool operator==(const backend_announced&, const backend_announced&) = default;
 };
 // No announcement came for too long, or its address refuses connections.
@@ -62,6 +66,12 @@
     run_id run_;
     friend bool operator==(const run_not_sent&, const run_not_sent&) = default;
 };
+// The backend server says that it has not run the request.
+struct run_refused {
+    run_id run_;
+    bool misdirected_ = false; // it is another instance than was meant
+    friend bool operator==(const run_refused&, const run_refused&) = default;
+};
 // The connection broke before the whole answer came.
 struct run_broken {
     run_id run_;
@@ -84,15 +94,16 @@
 struct gate_tick {
     friend bool operator==(const gate_tick&, const gate_tick&) = default;
 };
-using gate_event =
-    std::variant<backend_announced, backend_lost, stop_requested, call_message, run_answered, run_continued,
-                 run_not_sent, run_broken, peer_gate_message, peer_gate_lost, gate_view_changed, gate_tick>;
+using gate_event = std::variant<backend_announced, backend_lost, stop_requested, call_message, run_answered,
+                                run_continued, run_not_sent, run_refused, run_broken, peer_gate_message,
+                                peer_gate_lost, gate_view_changed, gate_tick>;
 
 // Give a request to the backend server.
 struct start_run {
     run_id run_;
     http::request request_;
     duration timeout_{};
+    std::string instance_; // that is meant; empty if none was announced
     friend bool operator==(const start_run&, const start_run&) = default;
 };
 // Cancel it there.
@@ -117,7 +128,12 @@
     bool fresh_connection_ = false; // do not trust the connection that is open
     friend bool operator==(const send_to_peer_gate&, const send_to_peer_gate&) = default;
 };
-using gate_action = std::variant<start_run, abort_run, pause_run, send_to_entry, send_to_peer_gate>;
+// The backend server is gone until it announces itself again.
+struct backend_down {
+    friend bool operator==(const backend_down&, const backend_down&) = default;
+};
+using gate_action =
+    std::variant<start_run, abort_run, pause_run, send_to_entry, send_to_peer_gate, backend_down>;
 using gate_actions = std::vector<gate_action>;
 
 class gate {
@@ -159,6 +175,7 @@
     void on(const run_answered& e, time_point now);
     void on(const run_continued& e, time_point now);
     void on(const run_not_sent& e, time_point now);
+    void on(const run_refused& e, time_point now);
     void on(const run_broken& e, time_point now);
     void on(const peer_gate_message& e, time_point now);
     void on(const peer_gate_lost& e, time_point now);
@@ -175,6 +192,14 @@
     // True if a request with the same identity is known, and has been dealt with.
     bool take_repeat(const call_key& key, const call& c, time_point now);
 
+    // True if the backend server has room for one more run.
+    bool has_room(time_point now) const;
+    // Requests a second that it bears while cold.
+    std::uint32_t cold_rate() const;
+    std::uint32_t cold_limit() const;
+    bool serves(const version_name& version) const;
+    // No further request reaches it before it announces itself again.
+    void lose_backend(time_point now);
     // True while operators have taken this data centre out.
     bool out() const;
     // The reason why a call is not admitted; code::ok if it is.
@@ -227,6 +252,9 @@
     std::optional<backend_announced> backend_;
     bool stopping_ = false;
     concurrency_limit limit_;
+    cold_pace pace_;
+    bool cold_ = false;                 // by the pace, at the last event
+    std::vector<held_call> broken_off_; // runs that may have crashed the backend server
     call_limiter limiter_;
     run_id last_run_;
     std::map<run_id, held_call> running_;
--- a/src/decide/gossip.h
+++ b/src/decide/gossip.h
@@ -18,11 +18,25 @@
     friend bool operator==(const announcements&, const announcements&) = default;
 };
 
+// A single rule that operators gave beside the rules file.
+struct order {
+    std::string subject_;        // what it is about; a later order of the same subject replaces it
+    std::uint64_t revision_ = 0; // of the platform's object
+    std::string identity_;       // the same for one order, however it is worded
+    std::string rule_;           // a line of a rules file; empty once the order was taken back
+    friend bool operator==(const order&, const order&) = default;
+};
+struct orders {
+    std::vector<order> orders_;
+    friend bool operator==(const orders&, const orders&) = default;
+};
+
 // Hashes of what the sender knows. Sent at intervals to each neighbour, it is
 // the heartbeat too; the receiver answers with what differs, or with same.
 struct digest {
     std::uint64_t members_ = 0; // hash over all members
     std::uint64_t moves_ = 0;   // hash over all move facts
+    std::uint64_t orders_ = 0;  // hash over all orders
     configuration_number configuration_;
     content_hash configuration_hash_;
     friend bool operator==(const digest&, const digest&) = default;
@@ -130,9 +144,10 @@
     friend bool operator==(const evidence_report&, const evidence_report&) = default;
 };
 
-using control_message = std::variant<announcements, digest, digest_received, digests_end, member_buckets,
-                                     members_wanted, probe, probe_answer, probe_wanted, configuration_wanted,
-                                     configuration_whole, configuration_delta, move_facts, evidence_report>;
+using control_message =
+    std::variant<announcements, digest, digest_received, digests_end, member_buckets, members_wanted, probe,
+                 probe_answer, probe_wanted, configuration_wanted, configuration_whole, configuration_delta,
+                 move_facts, evidence_report, orders>;
 
 // A daemon that others may ask first, as kept in the platform.
 struct seed {
--- a/src/decide/held_call.h
+++ b/src/decide/held_call.h
@@ -36,6 +36,7 @@
     time_point started_{}; // of the run
     shed_order shed_ = shed_order::normal;
     bool keep_ = false;
+    std::uint32_t priority_ = 0;
     std::uint32_t weight_ = 1;
     std::vector<daemon_name> homes_; // that were asked to record its idempotency key
     bool answering_ = false;         // a part of the answer has been passed on
--- a/src/decide/move_tracker.cpp
+++ b/src/decide/move_tracker.cpp
@@ -164,7 +164,7 @@
     if (known != judged_.end())
         return known->second;
     const auto routes = std::count_if(c.routes_.begin(), c.routes_.end(),
-                                      [&](const route_rule& r) { return r.service_ == rule.service_; });
+                                      [&](const route_rule& r) { return r.leads_to(rule.service_); });
     const double seconds = std::chrono::duration<double>(rule.deadline_ - to_wall(fact.began_)).count();
     judged fresh{move_judge(rule.version_, static_cast<std::size_t>(routes), seconds), fact.stage_, {}, {}};
     return judged_.insert({rule.id(), std::move(fresh)}).first->second;
--- a/src/decide/retry_budget.cpp
+++ b/src/decide/retry_budget.cpp
@@ -6,7 +6,13 @@
 
 void retry_budget::earn(double share)
 {
-    retries_ = std::min(most, retries_ + share);
+    retries_ = std::min(most_, retries_ + share);
+}
+
+void retry_budget::set_most(double most)
+{
+    most_ = most;
+    retries_ = std::min(retries_, most_);
 }
 
 bool retry_budget::spend()
--- a/src/decide/retry_budget.h
+++ b/src/decide/retry_budget.h
@@ -12,12 +12,14 @@
     void earn(double share);
     // False if the budget is spent.
     bool spend();
+    // Retries that a quiet service may make at once, and the most that are saved up.
+    void set_most(double most);
 
 private:
-    // Retries that a quiet service may make at once, and the most that are saved up.
-    static constexpr double most = 10;
+    static constexpr double usual_most = 10;
 
-    double retries_ = most;
+    double most_ = usual_most;
+    double retries_ = usual_most;
 };
 
 } // namespace guavahaven::decide
--- a/src/decide/routing.cpp
+++ b/src/decide/routing.cpp
@@ -17,7 +17,7 @@
 
 auto specificity(const route_rule& r)
 {
-    return std::tuple(!r.prefix_, r.path_.size(), r.header_.has_value(), r.method_ != "*");
+    return std::tuple(!r.host_.empty(), !r.prefix_, r.path_.size(), r.header_.has_value(), r.method_ != "*");
 }
 
 } // namespace
@@ -26,6 +26,8 @@
 {
     if (route.method_ != "*" && route.method_ != request.method_)
         return false;
+    if (!route.host_.empty() && !http::same_name(route.host_, http::find_header(request.headers_, "Host")))
+        return false;
     if (!path_matches(route, http::path_of(request.target_)))
         return false;
     return !route.header_ ||
--- a/src/main/guavahaven.cpp
+++ b/src/main/guavahaven.cpp
@@ -114,7 +114,7 @@
 // A connection to the platform for the length of one command.
 struct platform_session {
     event_loop loop_;
-    platform::store store_;
+    object_store::store store_;
     operators::publisher publisher_;
 
     explicit platform_session(const http::address& at) : store_(loop_, at), publisher_(store_) {}
--- a/src/platform/move_store.cpp
+++ b/src/object_store/move_store.cpp
@@ -1,10 +1,10 @@
-#include "platform/move_store.h"
+#include "object_store/move_store.h"
 
 #include <algorithm>
 
-#include "platform/objects.h"
+#include "object_store/objects.h"
 
-namespace guavahaven::platform {
+namespace guavahaven::object_store {
 
 namespace {
 
@@ -103,4 +103,4 @@
     write_next();
 }
 
-} // namespace guavahaven::platform
+} // namespace guavahaven::object_store
--- a/src/platform/move_store.h
+++ b/src/object_store/move_store.h
@@ -11,9 +11,9 @@
 #include "base/backoff.h"
 #include "base/call_budget.h"
 #include "decide/control.h"
-#include "platform/store.h"
+#include "object_store/store.h"
 
-namespace guavahaven::platform {
+namespace guavahaven::object_store {
 
 class move_store {
 public:
@@ -43,4 +43,4 @@
     std::map<move_id, decide::move_fact> unwritten_;
 };
 
-} // namespace guavahaven::platform
+} // namespace guavahaven::object_store
--- a/src/platform/objects.cpp
+++ b/src/object_store/objects.cpp
@@ -1,8 +1,8 @@
-#include "platform/objects.h"
+#include "object_store/objects.h"
 
 #include "peer/layouts.h"
 
-namespace guavahaven::platform {
+namespace guavahaven::object_store {
 
 namespace {
 
@@ -43,4 +43,4 @@
     return read<std::vector<decide::seed>>(bytes);
 }
 
-} // namespace guavahaven::platform
+} // namespace guavahaven::object_store
--- a/src/platform/objects.h
+++ b/src/object_store/objects.h
@@ -7,7 +7,7 @@
 
 #include "decide/gossip.h"
 
-namespace guavahaven::platform {
+namespace guavahaven::object_store {
 
 // Kinds and names of objects.
 inline constexpr const char* configuration_kind = "configuration"; // one object: "current"
@@ -25,4 +25,4 @@
 result<std::vector<decide::move_fact>> to_facts(const std::string& bytes);
 result<std::vector<decide::seed>> to_seeds(const std::string& bytes);
 
-} // namespace guavahaven::platform
+} // namespace guavahaven::object_store
--- a/src/platform/seed_keeper.cpp
+++ b/src/object_store/seed_keeper.cpp
@@ -1,10 +1,10 @@
-#include "platform/seed_keeper.h"
+#include "object_store/seed_keeper.h"
 
 #include <algorithm>
 
-#include "platform/objects.h"
+#include "object_store/objects.h"
 
-namespace guavahaven::platform {
+namespace guavahaven::object_store {
 
 namespace {
 
@@ -80,4 +80,4 @@
     });
 }
 
-} // namespace guavahaven::platform
+} // namespace guavahaven::object_store
--- a/src/platform/seed_keeper.h
+++ b/src/object_store/seed_keeper.h
@@ -10,9 +10,9 @@
 #include "base/random.h"
 #include "decide/control.h"
 #include "decide/seeds.h"
-#include "platform/store.h"
+#include "object_store/store.h"
 
-namespace guavahaven::platform {
+namespace guavahaven::object_store {
 
 class seed_keeper {
 public:
@@ -41,4 +41,4 @@
     std::set<daemon_name> absent_; // kept seeds of the own data centre that were no candidates
 };
 
-} // namespace guavahaven::platform
+} // namespace guavahaven::object_store
--- a/src/platform/watcher.cpp
+++ b/src/object_store/watcher.cpp
@@ -1,9 +1,9 @@
-#include "platform/watcher.h"
+#include "object_store/watcher.h"
 
 #include "base/log.h"
-#include "platform/objects.h"
+#include "object_store/objects.h"
 
-namespace guavahaven::platform {
+namespace guavahaven::object_store {
 
 namespace {
 
@@ -122,4 +122,4 @@
         watch_next();
 }
 
-} // namespace guavahaven::platform
+} // namespace guavahaven::object_store
--- a/src/platform/watcher.h
+++ b/src/object_store/watcher.h
@@ -11,12 +11,13 @@
 #include "base/call_budget.h"
 #include "base/metrics.h"
 #include "base/random.h"
+#include "daemon/platform_task.h"
 #include "decide/control.h"
-#include "platform/move_store.h"
-#include "platform/seed_keeper.h"
-#include "platform/store.h"
+#include "object_store/move_store.h"
+#include "object_store/seed_keeper.h"
+#include "object_store/store.h"
 
-namespace guavahaven::platform {
+namespace guavahaven::object_store {
 
 struct watcher_settings {
     http::address platform_;
@@ -24,18 +25,18 @@
     std::uint64_t seed_ = 0; // of the jitter
 };
 
-class watcher {
+class watcher final : public platform_task {
 public:
     watcher(event_loop& loop, metrics& counts, const watcher_settings& settings,
             std::function<void(decide::control_event)> tell);
 
     // Reads seeds and configuration, again and again until it succeeds.
-    void start();
-    void watch(bool on);
-    void keep_seeds(const std::vector<daemon_name>& candidates) { seeds_.keep(candidates); }
-    void store_move(const decide::move_fact& fact) { moves_.write(fact); }
+    void start() override;
+    void watch(bool on) override;
+    void keep_seeds(const std::vector<daemon_name>& candidates) override { seeds_.keep(candidates); }
+    void store_move(const decide::move_fact& fact) override { moves_.write(fact); }
     // The services under a move; their facts are read while watching.
-    void set_moving(const std::set<service_name>& services);
+    void set_moving(const std::set<service_name>& services) override;
 
 private:
     void read_first();
@@ -65,4 +66,4 @@
     std::uint64_t seen_version_ = 0;
 };
 
-} // namespace guavahaven::platform
+} // namespace guavahaven::object_store
--- a/src/operator/daemon_settings.cpp
+++ b/src/operator/daemon_settings.cpp
@@ -10,9 +10,11 @@
 
 constexpr std::uint64_t port_most = 65'535;
 
-http::address read_address(settings_file& file, const std::string& ip, const std::string& key)
+// The port alone stands for one at the daemon's own IP address.
+std::uint16_t read_port(settings_file& file, const std::string& key,
+                        std::optional<std::uint64_t> fallback = {})
 {
-    return {ip, static_cast<std::uint16_t>(file.integer(key, {}, 1, port_most))};
+    return static_cast<std::uint16_t>(file.integer(key, fallback, fallback ? 0 : 1, port_most));
 }
 
 } // namespace
@@ -30,10 +32,18 @@
 
     s.data_center_ = data_center_name(file.text("daemon.data_center"));
     const std::string ip = file.text("daemon.ip");
-    s.callers_ = read_address(file, ip, "daemon.caller_port");
-    s.peers_ = read_address(file, ip, "daemon.peer_port");
-    s.backend_ = read_address(file, ip, "daemon.backend_port");
-    s.operators_ = read_address(file, ip, "daemon.operator_port");
+    const auto address = [&](const std::string& name) {
+        const std::string whole = file.text("daemon." + name + "_address", "");
+        return whole.empty() ? http::address{ip, read_port(file, "daemon." + name + "_port")}
+                             : parse("daemon." + name + "_address", whole);
+    };
+    s.callers_ = address("caller");
+    s.peers_ = address("peer");
+    s.backend_ = address("backend");
+    s.operators_ = address("operator");
+    s.metrics_port_ = read_port(file, "daemon.metrics_port", 0);
+    s.service_ = file.text("daemon.service", "");
+    s.stop_notice_ = file.milliseconds("daemon.stop_notice_ms", 0, 0, 3'600'000);
     s.drain_timeout_ = file.milliseconds("daemon.drain_timeout_ms", 30'000, 0, 3'600'000);
     s.announcement_timeout_ = file.milliseconds("backend.announcement_timeout_ms", 3'000, 100, 600'000);
     s.log_level_ = file.text("log.level", "info");
--- a/src/operator/daemon_settings.h
+++ b/src/operator/daemon_settings.h
@@ -22,7 +22,10 @@
     std::vector<daemon_name> seeds_;
     std::string log_level_;
     duration announcement_timeout_{};
-    duration drain_timeout_{}; // longest wait for work in flight at a stop
+    duration stop_notice_{};         // for callers to leave before a stop; requests are still taken
+    duration drain_timeout_{};       // longest wait for work in flight after that
+    std::uint16_t metrics_port_ = 0; // for the metrics alone; 0: none
+    std::string service_;            // of the machine; empty: as the backend server announces
 
     friend bool operator==(const daemon_settings&, const daemon_settings&) = default;
 };
--- a/src/operator/publisher.cpp
+++ b/src/operator/publisher.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "platform/objects.h"
+#include "object_store/objects.h"
 
 namespace guavahaven::operators {
 
@@ -14,13 +14,13 @@
 
 void publisher::read(std::function<void(result<published>)> handler)
 {
-    store_.get(platform::configuration_kind, platform::current_name,
-               [handler = std::move(handler)](const result<platform::object>& found) {
+    store_.get(object_store::configuration_kind, object_store::current_name,
+               [handler = std::move(handler)](const result<object_store::object>& found) {
                    if (!ok(found) && failure(found).code_ == code::platform_not_found)
                        return handler(published{});
                    if (!ok(found))
                        return handler(failure(found));
-                   const auto record = platform::to_record(value(found).bytes_);
+                   const auto record = object_store::to_record(value(found).bytes_);
                    if (!ok(record))
                        return handler(published{value(found).version_, {}, true});
                    handler(published{value(found).version_, value(record)});
@@ -47,7 +47,8 @@
             return settle(over, ours, tries_left, failure(r), handler);
         keep_past(ours, [=, version = value(r)] { handler(publish_outcome{{version, ours}, true, {}}); });
     };
-    store_.put(platform::configuration_kind, platform::current_name, platform::to_bytes(ours), over, written);
+    store_.put(object_store::configuration_kind, object_store::current_name, object_store::to_bytes(ours),
+               over, written);
 }
 
 // The write was refused, or its answer was lost: what the platform holds now
@@ -72,18 +73,19 @@
 
 void publisher::keep_past(const decide::configuration_record& record, std::function<void()> handler)
 {
-    store_.put(platform::history_kind, std::to_string(record.number_.value()), platform::to_bytes(record), 0,
+    store_.put(object_store::history_kind, std::to_string(record.number_.value()),
+               object_store::to_bytes(record), 0,
                [handler = std::move(handler)](const result<std::uint64_t>&) { handler(); });
 }
 
 void publisher::read_past(configuration_number number,
                           std::function<void(result<decide::configuration_record>)> handler)
 {
-    store_.get(platform::history_kind, std::to_string(number.value()),
-               [handler = std::move(handler)](const result<platform::object>& found) {
+    store_.get(object_store::history_kind, std::to_string(number.value()),
+               [handler = std::move(handler)](const result<object_store::object>& found) {
                    if (!ok(found))
                        return handler(failure(found));
-                   handler(platform::to_record(value(found).bytes_));
+                   handler(object_store::to_record(value(found).bytes_));
                });
 }
 
--- a/src/operator/publisher.h
+++ b/src/operator/publisher.h
@@ -8,7 +8,7 @@
 #include <optional>
 
 #include "decide/configuration.h"
-#include "platform/store.h"
+#include "object_store/store.h"
 
 namespace guavahaven::operators {
 
@@ -31,7 +31,7 @@
 
 class publisher {
 public:
-    explicit publisher(platform::store& store) : store_(store) {}
+    explicit publisher(object_store::store& store) : store_(store) {}
 
     // The configuration in the platform; number 0 if there is none.
     void read(std::function<void(result<published>)> handler);
@@ -55,7 +55,7 @@
                 const error& why, std::function<void(result<publish_outcome>)> handler);
     void keep_past(const decide::configuration_record& record, std::function<void()> handler);
 
-    platform::store& store_;
+    object_store::store& store_;
 };
 
 } // namespace guavahaven::operators
--- a/src/operator/rules.cpp
+++ b/src/operator/rules.cpp
@@ -1,9 +1,12 @@
 #include "operator/rules.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <cmath>
+#include <cstring>
 #include <iomanip>
+#include <map>
 #include <optional>
 #include <set>
 #include <sstream>
@@ -60,6 +63,21 @@
     return number;
 }
 
+// Reads ".250Z" as 250 ms.
+duration milliseconds_after_point(std::istream& in)
+{
+    char point = 0;
+    char zone = 0;
+    std::array<char, 4> digits{};
+    in >> point;
+    in.get(digits.data(), digits.size(), 'Z');
+    in >> zone;
+    const std::optional<double> count = to_number(digits.data());
+    if (zone != 'Z' || !count || std::strlen(digits.data()) != 3)
+        in.setstate(std::ios::failbit);
+    return std::chrono::milliseconds(static_cast<std::int64_t>(count.value_or(0)));
+}
+
 // Reads the words of one line in order. The first fault is kept; later reads
 // then yield defaults, and the caller asks failed() once at the end.
 class line_reader {
@@ -154,12 +172,19 @@
         const std::string text = next(what + " such as 2026-12-05T18:00Z");
         if (fault_)
             return {};
-        for (const char* form : {"%Y-%m-%dT%H:%M:%SZ", "%Y-%m-%dT%H:%MZ"}) {
+        for (const char* form : {"%Y-%m-%dT%H:%M:%SZ", "%Y-%m-%dT%H:%MZ", "%Y-%m-%dT%H:%M:%S"}) {
             std::tm fields{};
             std::istringstream in(text);
             in >> std::get_time(&fields, form);
-            if (!in.fail() && in.peek() == std::char_traits<char>::eof())
-                return wall_time(std::chrono::seconds(timegm(&fields)));
+            if (in.fail())
+                continue;
+            duration fraction{};
+            if (in.peek() == '.')
+                fraction = milliseconds_after_point(in);
+            else if (!std::string_view(form).ends_with('Z'))
+                continue;
+            if (in.peek() == std::char_traits<char>::eof())
+                return wall_time(std::chrono::seconds(timegm(&fields)) + fraction);
         }
         reject(what + " must be a time in UTC such as 2026-12-05T18:00Z");
         return {};
@@ -196,12 +221,22 @@
         }
         else if (in.accept("once"))
             r.once_ = true;
+        else if (in.accept("repeat"))
+            r.repeat_ = true;
         else if (in.accept("keep"))
             r.keep_ = true;
         else if (in.accept("weight"))
             r.weight_ = static_cast<std::uint32_t>(in.count("the weight", 1, 1000));
+        else if (in.accept("objective"))
+            r.objective_ = in.wait("the objective");
+        else if (in.accept("priority"))
+            r.priority_ = static_cast<std::uint32_t>(in.count("the priority", 0, 1000));
+        else if (in.accept("attempts"))
+            r.attempts_ = static_cast<std::uint32_t>(in.count("the attempts", 1, 10));
         else
-            in.fail(code::rules_syntax, "expected 'shed first', 'shed last', 'once', 'keep' or 'weight N'");
+            in.fail(code::rules_syntax,
+                    "expected 'shed first', 'shed last', 'once', 'repeat', 'keep', 'weight N', "
+                    "'objective TIME', 'priority N' or 'attempts N'");
     }
     return r;
 }
@@ -211,7 +246,16 @@
     service_rule r;
     r.name_ = service_name(in.name("a service name"));
     in.expect("version");
-    r.version_ = version_name(in.name("a version"));
+    r.version_ = version_name(in.accept("*") ? std::string(any_version) : in.name("a version"));
+    if (in.accept("cold")) {
+        cold_rule cold;
+        cold.per_second_ = static_cast<std::uint32_t>(in.count("the requests per second", 1, 1'000'000));
+        in.expect("per");
+        in.expect("second");
+        in.expect("for");
+        cold.length_ = in.wait("the cold time");
+        r.cold_ = cold;
+    }
     return r;
 }
 
@@ -230,6 +274,8 @@
         r.prefix_ = true;
         r.path_.resize(r.path_.size() - 2);
     }
+    if (in.accept("host"))
+        r.host_ = in.next("a host");
     if (in.accept("header")) {
         const std::string pair = in.next("NAME=VALUE");
         const std::size_t equals = pair.find('=');
@@ -239,7 +285,16 @@
             r.header_ = header_match{pair.substr(0, equals), pair.substr(equals + 1)};
     }
     in.expect("to");
-    r.service_ = service_name(in.name("a service name"));
+    do {
+        weighted_service part;
+        part.service_ = service_name(in.name("a service name"));
+        if (in.accept("weight"))
+            part.weight_ = static_cast<std::uint32_t>(in.count("the weight", 0, 1'000'000));
+        r.services_.push_back(part);
+    } while (in.accept("and"));
+    if (std::none_of(r.services_.begin(), r.services_.end(),
+                     [](const weighted_service& part) { return part.weight_ > 0; }))
+        in.reject("one weight at least must be above 0");
     in.expect("as");
     r.class_ = class_name(in.name("a class name"));
     return r;
@@ -287,6 +342,8 @@
     r.service_ = service_name(in.name("a service name"));
     in.expect("budget");
     r.budget_ = in.share("the budget");
+    if (in.accept("reserve"))
+        r.reserve_ = static_cast<std::uint32_t>(in.count("the reserve", 1, 1'000'000));
     if (in.accept("attempts"))
         r.attempts_ = static_cast<std::uint32_t>(in.count("the attempts", 1, 10));
     return r;
@@ -302,6 +359,8 @@
     r.deadline_ = in.moment("the deadline");
     if (in.accept("from"))
         r.start_share_ = in.share("the first share");
+    if (in.accept("as"))
+        r.order_ = in.name("a name of the move");
     return r;
 }
 
@@ -312,6 +371,21 @@
     return r;
 }
 
+callers_rule read_callers(line_reader& in)
+{
+    constexpr std::uint64_t bytes_most = 1ULL << 30;
+    callers_rule r;
+    in.expect("head");
+    r.head_bytes_ = in.count("the bytes of a request's head", 1, bytes_most);
+    in.expect("body");
+    r.body_bytes_ = in.count("the bytes of a request's body", 0, bytes_most);
+    in.expect("arrival");
+    r.arrival_ = in.wait("the time to arrive");
+    in.expect("idle");
+    r.idle_ = in.wait("the idle time");
+    return r;
+}
+
 class rules_reader {
 public:
     parsed_rules read(const std::string& text)
@@ -395,9 +469,21 @@
             keep(rules_.moves_, read_move(in), in, from);
         else if (kind == "out")
             keep(rules_.outs_, read_out(in), in, from);
+        else if (kind == "callers")
+            keep_callers(read_callers(in), in, from);
         else
             in.reject("unknown rule '" + kind +
-                      "'; known are class, service, route, split, limit, retry, move, out");
+                      "'; known are class, service, route, split, limit, retry, move, out, callers");
+    }
+
+    void keep_callers(callers_rule rule, const line_reader& in, const origin& from)
+    {
+        if (in.failed())
+            return;
+        if (rules_.callers_)
+            fault({from.line_, 0, {code::rules_duplicate, "a second callers line"}});
+        rule.origin_ = from;
+        rules_.callers_ = rule;
     }
 
     void need_service(const service_name& name, const origin& from)
@@ -409,7 +495,8 @@
     void check_names()
     {
         for (const route_rule& r : rules_.routes_) {
-            need_service(r.service_, r.origin_);
+            for (const weighted_service& part : r.services_)
+                need_service(part.service_, r.origin_);
             if (!rules_.find_class(r.class_))
                 fault({r.origin_.line_, 0, {code::rules_unknown_class, "'" + r.class_.str() + "'"}});
         }
@@ -455,17 +542,18 @@
     // Two routes that can match one request must differ in how specific they are.
     void check_routes()
     {
-        for (std::size_t i = 0; i < rules_.routes_.size(); ++i) {
-            for (std::size_t j = 0; j < i; ++j) {
-                const route_rule& a = rules_.routes_[i];
-                const route_rule& b = rules_.routes_[j];
-                if (!can_overlap(a, b) || more_specific(a, b) || more_specific(b, a))
-                    continue;
-                fault({a.origin_.line_,
-                       0,
-                       {code::rules_ambiguous_route,
-                        "as specific as line " + std::to_string(b.origin_.line_)}});
-            }
+        // Paths of different length never tie, so only routes of one path matter to each other.
+        std::map<std::tuple<std::string_view, std::string_view, bool>, std::vector<const route_rule*>>
+            by_path;
+        for (const route_rule& a : rules_.routes_) {
+            std::vector<const route_rule*>& same = by_path[{a.host_, a.path_, a.prefix_}];
+            for (const route_rule* b : same)
+                if (can_overlap(a, *b) && !more_specific(a, *b) && !more_specific(*b, a))
+                    fault({a.origin_.line_,
+                           0,
+                           {code::rules_ambiguous_route,
+                            "as specific as line " + std::to_string(b->origin_.line_)}});
+            same.push_back(&a);
         }
     }
 
@@ -474,8 +562,7 @@
         const bool methods = a.method_ == b.method_ || a.method_ == "*" || b.method_ == "*";
         const bool headers = !a.header_ || !b.header_ || a.header_->name_ != b.header_->name_ ||
                              a.header_->value_ == b.header_->value_;
-        // Paths of different length never tie, so only equal ones matter here.
-        return methods && headers && a.prefix_ == b.prefix_ && a.path_ == b.path_;
+        return methods && headers;
     }
 
     configuration rules_;
--- a/src/peer/layouts.h
+++ b/src/peer/layouts.h
@@ -24,7 +24,7 @@
 
 namespace guavahaven {
 
-GUAVAHAVEN_ENUM(code, answer_incomplete);
+GUAVAHAVEN_ENUM(code, backend_refused);
 GUAVAHAVEN_ENUM(decide::fate, unknown);
 GUAVAHAVEN_ENUM(decide::member_state, dead);
 
@@ -75,7 +75,8 @@
                   &decide::member::version_, &decide::member::slots_);
 GUAVAHAVEN_LAYOUT(decide::announcements, &decide::announcements::members_);
 GUAVAHAVEN_LAYOUT(decide::digest, &decide::digest::members_, &decide::digest::moves_,
-                  &decide::digest::configuration_, &decide::digest::configuration_hash_);
+                  &decide::digest::orders_, &decide::digest::configuration_,
+                  &decide::digest::configuration_hash_);
 GUAVAHAVEN_LAYOUT(decide::digest_received);
 GUAVAHAVEN_LAYOUT(decide::digests_end);
 GUAVAHAVEN_LAYOUT(decide::member_buckets, &decide::member_buckets::hashes_);
@@ -100,6 +101,9 @@
                   &decide::move_fact::withdrawn_, &decide::move_fact::reason_, &decide::move_fact::since_,
                   &decide::move_fact::began_);
 GUAVAHAVEN_LAYOUT(decide::move_facts, &decide::move_facts::facts_);
+GUAVAHAVEN_LAYOUT(decide::order, &decide::order::subject_, &decide::order::revision_,
+                  &decide::order::identity_, &decide::order::rule_);
+GUAVAHAVEN_LAYOUT(decide::orders, &decide::orders::orders_);
 GUAVAHAVEN_LAYOUT(decide::route_counts, &decide::route_counts::route_, &decide::route_counts::class_,
                   &decide::route_counts::ran_, &decide::route_counts::failed_,
                   &decide::route_counts::slower_);
--- a/tests/decide/entry_test.cpp
+++ b/tests/decide/entry_test.cpp
@@ -83,7 +83,8 @@
         const auto all = replies();
         if (all.size() != 1)
             return code::ok;
-        return static_cast<code>(std::stoi(http::find_header(all[0].response_.headers_, result_header)));
+        return static_cast<code>(
+            std::stoi(http::find_header(all[0].response_.headers_, caller_protocol().result_header_)));
     }
     void advance(duration by)
     {
@@ -263,7 +264,7 @@
         }
         // Then each gets the failure, marked so that nobody above tries again
         ASSERT_EQ(replies().size(), 1U);
-        EXPECT_EQ(http::find_header(replies()[0].response_.headers_, retried_header), "1");
+        EXPECT_EQ(http::find_header(replies()[0].response_.headers_, caller_protocol().retried_header_), "1");
     }
 
     // And the service gets little more than the callers' own requests
@@ -274,7 +275,7 @@
 TEST_F(entry_story, a_failure_that_was_retried_below_is_not_retried_here)
 {
     const send_to_gate s = ask(first, "GET", "/shifts/1");
-    from_gate(s, answer{id_of(s), {}, {503, {{std::string(retried_header), "1"}}, "busy"}, true});
+    from_gate(s, answer{id_of(s), {}, {503, {{caller_protocol().retried_header_, "1"}}, "busy"}, true});
     EXPECT_FALSE(sent_again());
     ASSERT_EQ(replies().size(), 1U);
 }
@@ -282,13 +283,15 @@
 TEST_F(entry_story, the_time_left_and_the_depth_go_down_the_chain)
 {
     // Given a call from a backend server that has 300 ms left, two levels down
-    act(caller_request{
-        first,
-        {"GET", "/shifts/1", {{std::string(deadline_header), "300"}, {std::string(depth_header), "2"}}, ""}});
+    act(caller_request{first,
+                       {"GET",
+                        "/shifts/1",
+                        {{caller_protocol().deadline_header_, "300"}, {caller_protocol().depth_header_, "2"}},
+                        ""}});
     const auto passed = std::get<call>(sent().message_);
     EXPECT_EQ(passed.remaining_, std::chrono::milliseconds(300));
-    EXPECT_EQ(http::find_header(passed.request_.headers_, deadline_header), "300");
-    EXPECT_EQ(http::find_header(passed.request_.headers_, depth_header), "3");
+    EXPECT_EQ(http::find_header(passed.request_.headers_, caller_protocol().deadline_header_), "300");
+    EXPECT_EQ(http::find_header(passed.request_.headers_, caller_protocol().depth_header_), "3");
 
     // When its caller goes away, the gate hears of it
     const send_to_gate s = sent();
--- a/tests/decide/move_tracker_test.cpp
+++ b/tests/decide/move_tracker_test.cpp
@@ -42,7 +42,7 @@
     {
         for (const char* route : {"GET /shifts", "POST /placements"})
             rules_.routes_.push_back(
-                {"GET", route, false, {}, service_name("board"), class_name("lookup"), {}});
+                {"GET", route, false, "", {}, {{service_name("board"), 1}}, class_name("lookup"), {}});
         rule_.service_ = service_name("board");
         rule_.version_ = version_name("v2");
         rule_.deadline_ = wall_at(move_seconds);
--- a/tests/fuzz/inputs_test.cpp
+++ b/tests/fuzz/inputs_test.cpp
@@ -7,11 +7,11 @@
 #include <sstream>
 
 #include "fuzz/mutator.h"
+#include "object_store/objects.h"
 #include "operator/daemon_settings.h"
 #include "operator/rules.h"
 #include "operator/status.h"
 #include "peer/message.h"
-#include "platform/objects.h"
 
 namespace guavahaven::fuzz {
 
@@ -108,21 +108,22 @@
 {
     mutator random(seed);
     const std::vector<std::string> samples{
-        platform::to_bytes(decide::configuration_record{configuration_number(3), "ana", 5, "out leon # x\n"}),
-        platform::to_bytes(std::vector<decide::move_fact>{decide::move_fact{}}),
-        platform::to_bytes(
+        object_store::to_bytes(
+            decide::configuration_record{configuration_number(3), "ana", 5, "out leon # x\n"}),
+        object_store::to_bytes(std::vector<decide::move_fact>{decide::move_fact{}}),
+        object_store::to_bytes(
             std::vector<decide::seed>{{data_center_name("leon"), daemon_name("10.0.0.1:7100")}})};
     for (int i = 0; i < inputs; ++i) {
         const std::string bytes = random.next(samples);
-        const auto record = platform::to_record(bytes);
+        const auto record = object_store::to_record(bytes);
         if (!ok(record)) {
             EXPECT_EQ(failure(record).code_, code::platform_malformed);
         }
-        const auto facts = platform::to_facts(bytes);
+        const auto facts = object_store::to_facts(bytes);
         if (!ok(facts)) {
             EXPECT_EQ(failure(facts).code_, code::platform_malformed);
         }
-        const auto seeds = platform::to_seeds(bytes);
+        const auto seeds = object_store::to_seeds(bytes);
         if (!ok(seeds)) {
             EXPECT_EQ(failure(seeds).code_, code::platform_malformed);
         }
--- a/tests/integration/moves_test.cpp
+++ b/tests/integration/moves_test.cpp
@@ -6,7 +6,7 @@
 #include <algorithm>
 #include <thread>
 
-#include "platform/objects.h"
+#include "object_store/objects.h"
 #include "support/mesh.h"
 #include "support/paced_load.h"
 
@@ -67,7 +67,7 @@
     const auto r = support::fetch(mesh.platform(), {"GET", "/objects/moves/board", {}, ""});
     if (!ok(r) || value(r).status_ != 200)
         return false;
-    const auto facts = platform::to_facts(value(r).body_);
+    const auto facts = object_store::to_facts(value(r).body_);
     return ok(facts) && !value(facts).empty() && value(facts).front().withdrawn_;
 }
 
--- a/tests/operator/publisher_test.cpp
+++ b/tests/operator/publisher_test.cpp
@@ -40,7 +40,7 @@
 
     support::mesh mesh_;
     event_loop loop_;
-    platform::store store_;
+    object_store::store store_;
     publisher publisher_;
 };
 
--- a/tests/prove/configurations.cpp
+++ b/tests/prove/configurations.cpp
@@ -2,7 +2,7 @@
 
 #include <atomic>
 
-#include "platform/objects.h"
+#include "object_store/objects.h"
 #include "prove/promises.h"
 
 namespace guavahaven::prove {
@@ -63,10 +63,10 @@
 void put_record(support::mesh& mesh, std::uint64_t number, const std::string& text)
 {
     const std::string target =
-        std::string("/objects/") + platform::configuration_kind + "/" + platform::current_name;
+        std::string("/objects/") + object_store::configuration_kind + "/" + object_store::current_name;
     const auto now = support::fetch(mesh.platform(), {"GET", target, {}, ""});
     const std::string version = ok(now) ? http::find_header(value(now).headers_, "Version") : "0";
-    const std::string bytes = platform::to_bytes({configuration_number(number), "intruder", 0, text});
+    const std::string bytes = object_store::to_bytes({configuration_number(number), "intruder", 0, text});
     support::fetch(mesh.platform(), {"PUT", target, {{"If-Version", version}}, bytes});
 }
 
--- a/tests/support/once_load.cpp
+++ b/tests/support/once_load.cpp
@@ -19,14 +19,15 @@
     if (!ok(r))
         return told::unknown;
     const http::headers& headers = value(r).headers_;
-    const std::string text = http::find_header(headers, decide::result_header);
+    const std::string text = http::find_header(headers, decide::caller_protocol().result_header_);
     const int number = text.empty() ? 0 : std::stoi(text);
     if (number == 0)
         return value(r).status_ == 200 ? told::done : told::unknown;
     const auto why = static_cast<code>(number);
     if (why == code::duplicate_request)
-        return http::find_header(headers, decide::earlier_status_header) == "200" ? told::done
-                                                                                  : told::unknown;
+        return http::find_header(headers, decide::caller_protocol().earlier_status_header_) == "200"
+                   ? told::done
+                   : told::unknown;
     if (why == code::outcome_unknown || why == code::answer_incomplete || why == code::backend_failed)
         return told::unknown;
     return number >= first_code_of_calls ? told::not_run : told::unknown;
@@ -78,7 +79,7 @@
     {
         http::request r{"POST", c.request_.path_, {}, "maria"};
         if (c.request_.keyed_)
-            r.headers_.push_back({std::string(decide::key_header), c.key_});
+            r.headers_.push_back({decide::caller_protocol().key_header_, c.key_});
         ++c.request_.attempts_;
         http::client& entry = *entries_[random_index(random_, entries_.size())];
         entry.send(r, answer_timeout, [this, &c](const result<http::response>& answer) { take(c, answer); });
--- a/tests/support/paced_load.cpp
+++ b/tests/support/paced_load.cpp
@@ -13,7 +13,7 @@
 
 code result_of(const http::response& r)
 {
-    const std::string text = http::find_header(r.headers_, decide::result_header);
+    const std::string text = http::find_header(r.headers_, decide::caller_protocol().result_header_);
     int number = 0;
     const auto [stop, failed] = std::from_chars(text.data(), text.data() + text.size(), number);
     return failed == std::errc() ? static_cast<code>(number) : code::backend_failed;
@@ -53,7 +53,7 @@
         const std::size_t kind = (sent + sent / clients.size()) % plan_.kinds_.size();
         http::request request = plan_.kinds_[kind].request_;
         const std::string key = plan_.keys_ + "-" + std::to_string(sent++);
-        request.headers_.push_back({std::string(decide::key_header), key});
+        request.headers_.push_back({decide::caller_protocol().key_header_, key});
         const std::size_t at = outcomes_.size();
         const auto wall = static_cast<std::uint64_t>(clock.wall().time_since_epoch().count());
         outcomes_.push_back({kind, entry, key, wall, {}, 0, code::peer_unreachable});
