Urgent calls are not refused for the queue behind them; short moves; failed requests are logged

A move of 16 s had five steps of 2 s at least and could not be done. Daemons that no longer watch the store wrote statuses over and over. A withdrawn version counted as 'any version' once another move took its place.

Ruled out: the budget of retries (10% used), cold backend servers (3 crashes).

The entry logs each failed request with what decided it, 50 lines a second at most.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 JOBS ?= 10
 CTEST_JOBS ?= 4
 SEEDS ?= 5
-SOURCES = $(shell git ls-files 'src/*.h' 'src/*.cpp' 'tests/*.h' 'tests/*.cpp')
+SOURCES = $(shell git ls-files 'src/*.h' 'src/*.cpp' 'platform/*.h' 'platform/*.cpp' 'tests/*.h' 'tests/*.cpp')
 
 .PHONY: help deps build build-debug demo prove prove-fails test test-debug format format-check lint bench signature clean
 
--- a/src/base/http_reader.cpp
+++ b/src/base/http_reader.cpp
@@ -153,7 +153,8 @@
     if (fault_ || done())
         return;
     error_code ec;
-    parser_->put_end(ec);
+    if (head_done_) // the parser takes nothing at all for a whole message
+        parser_->put_end(ec);
     if (ec || !done())
         fault_ = read_fault::malformed;
 }
--- a/src/caller/door.cpp
+++ b/src/caller/door.cpp
@@ -1,5 +1,7 @@
 #include "caller/door.h"
 
+#include "base/log.h"
+
 namespace guavahaven::caller {
 
 door::door(event_loop& loop, metrics& counts, decide::entry decisions,
@@ -117,6 +119,16 @@
     ++metrics_.counter("guavahaven_requests_total",
                        of_class + ",result=\"" + std::string(name(a.code_)) + "\"");
     metrics_.timing("guavahaven_request_seconds", of_class).record(a.took_);
+    constexpr int server_failed = 500;
+    if ((a.code_ == code::ok && a.status_ < server_failed) || !log_pace_.take(clock_.now()))
+        return;
+    log_info("entry", "request_failed",
+             "id=" + a.identity_ + " code=" + std::to_string(number(a.code_)) +
+                 " result=" + std::string(name(a.code_)) + " status=" + std::to_string(a.status_) +
+                 " took_ms=" + std::to_string(a.took_.count() / 1000) + " attempts=" +
+                 std::to_string(a.attempts_) + " gate=" + a.gate_.str() + " service=" + a.service_.str() +
+                 " version=" + a.version_.str() + " class=" + a.class_.str() + " route=\"" + a.route_ +
+                 "\" configuration=" + std::to_string(a.configuration_.value()));
 }
 
 void door::tick()
--- a/src/caller/door.h
+++ b/src/caller/door.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 
+#include "base/call_budget.h"
 #include "base/http.h"
 #include "base/metrics.h"
 #include "decide/entry.h"
@@ -32,6 +33,9 @@
     bool busy() const { return entry_.busy() || !server_.quiet(); }
 
 private:
+    // Beyond these, failed requests are only counted.
+    static constexpr double log_lines_per_second = 50;
+
     struct open_exchange {
         std::shared_ptr<http::exchange> exchange_;
         std::uint64_t given_ = 0; // bytes of the body
@@ -56,6 +60,7 @@
     std::map<decide::exchange_id, open_exchange> exchanges_;
     decide::exchange_id last_exchange_;
     bool stopping_ = false;
+    call_budget log_pace_{log_lines_per_second, log_lines_per_second};
     timer timer_;
     std::optional<time_point> armed_; // when the timer fires
 };
--- a/src/decide/call_queue.cpp
+++ b/src/decide/call_queue.cpp
@@ -136,11 +136,11 @@
     return at == lanes_.end() ? 0 : at->second.calls_.size();
 }
 
-std::size_t call_queue::ahead_of(shed_order shed) const
+std::size_t call_queue::ahead_of(shed_order shed, std::uint32_t priority) const
 {
     std::size_t count = 0;
     for (const auto& [name, l] : lanes_)
-        if (l.shed_ >= shed)
+        if (l.shed_ > shed || (l.shed_ == shed && l.priority_ <= priority))
             count += l.calls_.size();
     return count;
 }
--- a/src/decide/call_queue.h
+++ b/src/decide/call_queue.h
@@ -31,8 +31,8 @@
     // The call with an idempotency key that runs at most once.
     held_call* find_identity(const std::string& scoped_identity);
 
-    // Calls that would go before one of this shed order.
-    std::size_t ahead_of(shed_order shed) const;
+    // Calls that would go before one of this shed order and priority.
+    std::size_t ahead_of(shed_order shed, std::uint32_t priority) const;
     std::size_t count_of(const class_name& name) const;
     std::size_t size() const { return size_; }
     bool empty() const { return size_ == 0; }
--- a/src/decide/concurrency_limit.cpp
+++ b/src/decide/concurrency_limit.cpp
@@ -64,6 +64,10 @@
 {
     const auto took_us = static_cast<double>(took.count());
     mean_us_ = mean_us_ == 0 ? took_us : mean_us_ + (took_us - mean_us_) * mean_weight;
+    if (route_mean_us_.size() < routes_most || route_mean_us_.contains(route)) {
+        double& mean = route_mean_us_.try_emplace(route, took_us).first->second;
+        mean += (took_us - mean) * mean_weight;
+    }
     watch_slowdown(route, took_us, now - took, now);
     if (probe_ != run)
         return;
@@ -130,6 +134,12 @@
     next_probe_ = now + probe_wait_;
 }
 
+duration concurrency_limit::mean_run(const std::string& route) const
+{
+    const auto at = route_mean_us_.find(route);
+    return at == route_mean_us_.end() ? mean_run() : duration(static_cast<duration::rep>(at->second));
+}
+
 duration concurrency_limit::mean_run() const
 {
     return duration(static_cast<duration::rep>(mean_us_));
--- a/src/decide/concurrency_limit.h
+++ b/src/decide/concurrency_limit.h
@@ -43,6 +43,8 @@
     std::uint32_t value() const { return limit_; }
     // Mean time of a run, lately; zero until one has ended.
     duration mean_run() const;
+    // The same for one route; that of all routes until one of its runs has ended.
+    duration mean_run(const std::string& route) const;
 
     friend bool operator==(const concurrency_limit&, const concurrency_limit&) = default;
 
@@ -60,6 +62,7 @@
     double mean_us_ = 0;
     double slowness_ = 1; // smoothed ratio of run times to their route's usual one
     std::map<std::string, double> usual_us_;
+    std::map<std::string, double> route_mean_us_;
 };
 
 } // namespace guavahaven::decide
--- a/src/decide/configuration.cpp
+++ b/src/decide/configuration.cpp
@@ -33,6 +33,14 @@
     return find(classes_, [&](const class_rule& r) { return r.name_ == name; });
 }
 
+std::uint32_t configuration::least_urgent() const
+{
+    std::uint32_t most = 0;
+    for (const class_rule& r : classes_)
+        most = std::max(most, r.priority_);
+    return most;
+}
+
 const service_rule* configuration::find_service(const service_name& name) const
 {
     return find(services_, [&](const service_rule& r) { return r.name_ == name; });
--- a/src/decide/configuration.h
+++ b/src/decide/configuration.h
@@ -185,6 +185,8 @@
     std::optional<callers_rule> callers_;
 
     const class_rule* find_class(const class_name& name) const;
+    // The highest priority number of all classes.
+    std::uint32_t least_urgent() const;
     const service_rule* find_service(const service_name& name) const;
     const split_rule* find_split(const service_name& name) const;
     const move_rule* find_move(const service_name& name) const;
--- a/src/decide/control.cpp
+++ b/src/decide/control.cpp
@@ -13,7 +13,8 @@
 constexpr duration repair_interval = std::chrono::milliseconds(900);
 constexpr duration sweep_interval = std::chrono::milliseconds(200); // over all members
 constexpr duration pause_least = std::chrono::seconds(1);           // between ticks: this process stood still
-constexpr duration watch_settle = std::chrono::milliseconds(500);   // after the start, to learn of others
+constexpr duration seed_settle = std::chrono::milliseconds(300);  // after the start, for the seeds to be read
+constexpr duration watch_settle = std::chrono::milliseconds(500); // after the start, to learn of others
 constexpr duration seed_check_interval = std::chrono::seconds(30);
 constexpr std::size_t seeds_met = 4; // asked at once
 constexpr std::ptrdiff_t seeds_most = 128;
@@ -426,7 +427,7 @@
 {
     const configuration_ptr shown = readiness_.ready() ? rules_ : nullptr;
     view_ = std::make_shared<const view>(
-        view{shown, membership_.members(), effective_moves(), returns_.returning(now)});
+        view{shown, membership_.members(), effective_moves(), returns_.returning(now), moves_.abandoned()});
     view_stale_ = false;
     configuration_stale_ = shown != rules_;
     last_flush_ = now;
@@ -460,15 +461,16 @@
     if (!was_ready && readiness_.unconfirmed())
         actions_.push_back(
             report_problem{{code::started_unconfirmed, "neither the platform nor a daemon answered"}});
-    if (now - started_ < watch_settle)
+    if (now - started_ < seed_settle)
         return;
     const bool watch = membership_.watches_platform();
-    if (watch != watching_)
-        actions_.push_back(watch_platform{watch});
-    if (watch && (!watching_ || now - last_seed_check_ >= seed_check_interval)) {
+    if (watch && (last_seed_check_ == time_point() || now - last_seed_check_ >= seed_check_interval)) {
         last_seed_check_ = now;
         actions_.push_back(keep_seeds{membership_.seed_candidates()});
     }
+    if (now - started_ < watch_settle || watch == watching_)
+        return;
+    actions_.push_back(watch_platform{watch});
     watching_ = watch;
 }
 
--- a/src/decide/entry.cpp
+++ b/src/decide/entry.cpp
@@ -203,6 +203,7 @@
 void entry::send_attempt(request_state& r, const daemon_name& gate, time_point now)
 {
     r.gate_ = gate;
+    ++r.sends_;
     r.sent_ = now;
     r.received_ = false;
     r.fenced_ = false;
@@ -241,7 +242,7 @@
     request_state& r = at->second;
     actions_.push_back(send_to_gate{r.gate_, cancel{r.call_.id_}, false});
     close_attempt(r, attempt_end::dropped, now);
-    end(r, now, code::caller_gone);
+    end(r, now, code::caller_gone, 0);
 }
 
 void entry::on(const caller_took& e, time_point)
@@ -295,11 +296,12 @@
     if (failed(whole))
         set_header(whole.headers_, protocol_.retried_header_, "1");
     const attempt_end how = failed(whole) ? attempt_end::failed : attempt_end::answered;
+    r.status_ = whole.status_;
     actions_.push_back(reply{r.exchange_, std::move(whole), m.complete_});
     if (!m.complete_)
         return wake_at(r, r.deadline_);
     close_attempt(r, how, now);
-    end(r, now, code::ok);
+    end(r, now, code::ok, r.status_);
 }
 
 void entry::take(request_state& r, const answer_part& m, time_point now)
@@ -313,7 +315,7 @@
     if (!m.complete_)
         return;
     close_attempt(r, attempt_end::answered, now);
-    end(r, now, code::ok);
+    end(r, now, code::ok, r.status_);
 }
 
 void entry::take(request_state& r, const refusal& m, time_point now)
@@ -467,8 +469,9 @@
     const code said = r.maybe_ran_ && claims_not_run(why) ? code::outcome_unknown : why;
     http::response answer = error_response(protocol_, said, come_back());
     set_header(answer.headers_, protocol_.retried_header_, "1");
+    const int status = answer.status_;
     actions_.push_back(reply{r.exchange_, std::move(answer), true});
-    end(r, now, said);
+    end(r, now, said, status);
 }
 
 // A caller that repeats a request learns how the first one ended.
@@ -477,8 +480,9 @@
     http::response told = error_response(protocol_, code::duplicate_request);
     if (earlier_status != 0)
         set_header(told.headers_, protocol_.earlier_status_header_, std::to_string(earlier_status));
+    const int status = told.status_;
     actions_.push_back(reply{r.exchange_, std::move(told), true});
-    end(r, now, code::duplicate_request);
+    end(r, now, code::duplicate_request, status);
 }
 
 // An answer that can't be completed any more must not look whole.
@@ -487,12 +491,14 @@
     actions_.push_back(send_to_gate{r.gate_, cancel{r.call_.id_}, false});
     actions_.push_back(reply_abort{r.exchange_});
     close_attempt(r, attempt_end::failed, now);
-    end(r, now, code::answer_incomplete);
+    end(r, now, code::answer_incomplete, 0);
 }
 
-void entry::end(request_state& r, time_point now, code result)
+void entry::end(request_state& r, time_point now, code result, int status)
 {
-    actions_.push_back(request_ended{r.call_.class_, result, now - r.started_});
+    actions_.push_back(request_ended{r.call_.identity_, r.call_.route_, r.call_.service_, r.call_.version_,
+                                     r.gate_, r.sends_, status, r.call_.configuration_, r.call_.class_,
+                                     result, now - r.started_});
     due_.erase({r.due_, r.exchange_});
     requests_.erase(r.exchange_);
 }
--- a/src/decide/entry.h
+++ b/src/decide/entry.h
@@ -83,6 +83,14 @@
 };
 // How a request ended, for the metrics of its class.
 struct request_ended {
+    std::string identity_;
+    std::string route_;
+    service_name service_;
+    version_name version_;
+    daemon_name gate_; // of the last attempt; empty if there was none
+    std::uint32_t attempts_ = 0;
+    int status_ = 0; // of the answer; 0 if none was given
+    configuration_number configuration_;
     class_name class_;
     code code_ = code::ok;
     duration took_{};
@@ -112,6 +120,7 @@
         time_point deadline_;
         time_point due_;
         daemon_name gate_;
+        std::uint32_t sends_ = 0;
         time_point sent_;
         std::uint32_t retries_ = 0;       // after attempts that cost a gate or backend server something
         std::uint32_t attempts_most_ = 0; // backend servers that it may reach
@@ -121,6 +130,7 @@
         bool expired_ = false;     // past its deadline; only its fate is still asked for
         bool maybe_ran_ = false;   // an earlier attempt may have run
         bool answering_ = false;   // part of the answer went to the caller
+        int status_ = 0;           // of that answer
         std::uint64_t passed_ = 0; // bytes of the body among it
         std::set<daemon_name> tried_;
     };
@@ -162,7 +172,7 @@
     void expire(request_state& r, time_point now);
     void fail(request_state& r, time_point now, code why);
     void cut(request_state& r, time_point now);
-    void end(request_state& r, time_point now, code result);
+    void end(request_state& r, time_point now, code result, int status);
     void wake_at(request_state& r, time_point due);
 
     daemon_name self_;
--- a/src/decide/gate.cpp
+++ b/src/decide/gate.cpp
@@ -140,6 +140,8 @@
 {
     if (version.str() != any_version || !view_ || !view_->configuration_)
         return backend_->version_ == version;
+    if (view_->abandoned_.contains({backend_->service_, backend_->version_}))
+        return false;
     const move_rule* move = view_->configuration_->find_move(backend_->service_);
     if (!move)
         return true;
@@ -264,9 +266,14 @@
     held.waiters_.push_back({key, false, 0});
     held.call_ = c;
     held.deadline_ = now + c.remaining_;
+    held.useful_until_ = held.deadline_;
     const class_rule* rule = view_->configuration_->find_class(c.class_);
     if (!rule)
         return held;
+    // Of the least urgent, what would be late takes the room of what could be in
+    // time: it is refused at once. The others wait as long as they may.
+    if (rule->objective_ > duration::zero() && rule->priority_ == view_->configuration_->least_urgent())
+        held.useful_until_ = std::min(held.deadline_, now + rule->objective_);
     held.shed_ = rule->shed_;
     held.keep_ = rule->keep_;
     held.weight_ = rule->weight_;
@@ -290,11 +297,11 @@
         return true;
     if (held.keep_ || (waiting_.empty() && has_room(now)))
         return false;
-    const auto before = static_cast<duration::rep>(waiting_.ahead_of(held.shed_) + 1);
+    const auto before = static_cast<duration::rep>(waiting_.ahead_of(held.shed_, held.priority_) + 1);
     duration wait = limit_.mean_run() * before / std::max<duration::rep>(1, limit_.value());
     if (cold_)
         wait = std::max<duration>(wait, std::chrono::seconds(1) * before / cold_rate());
-    return now + wait + limit_.mean_run() > held.deadline_;
+    return now + wait + limit_.mean_run(held.call_.route_) > held.useful_until_;
 }
 
 void gate::enqueue(held_call held, time_point now)
--- a/src/decide/held_call.h
+++ b/src/decide/held_call.h
@@ -33,7 +33,8 @@
     std::vector<waiter> waiters_;
     call call_;
     time_point deadline_;
-    time_point started_{}; // of the run
+    time_point useful_until_; // its deadline, or the objective of its class if that is sooner
+    time_point started_{};    // of the run
     shed_order shed_ = shed_order::normal;
     bool keep_ = false;
     std::uint32_t priority_ = 0;
--- a/src/decide/move_tracker.cpp
+++ b/src/decide/move_tracker.cpp
@@ -46,7 +46,7 @@
 
 duration move_schedule::dwell(std::uint32_t stage, wall_time stage_began) const
 {
-    const int stages_left = static_cast<int>(stage_count() - 1 - std::min(stage, stage_count() - 1));
+    const int stages_left = static_cast<int>(stages_ - 1 - std::min(stage, stages_ - 1));
     const duration ramp_left = deadline_ - length() / safety_part - watch() - stage_began;
     return std::clamp<duration>(ramp_left / std::max(1, stages_left), dwell_least, dwell_most);
 }
@@ -69,6 +69,11 @@
     }
     had_configuration_ = true;
     const auto unnamed = [&](const auto& item) { return !named_.contains(item.first); };
+    for (const auto& [id, f] : facts_)
+        if (unnamed(std::pair(id, 0)) && !f.done_)
+            abandoned_.insert({f.service_, f.version_});
+    for (const move_rule& r : c.moves_) // it is tried once more
+        abandoned_.erase({r.service_, r.version_});
     std::erase_if(facts_, [&](const auto& f) { return unnamed(f) && !f.second.withdrawn_; });
     std::erase_if(judged_, unnamed);
     std::erase_if(new_since_, unnamed);
@@ -189,7 +194,7 @@
     j.waiting_for_ = hindrance(rule, fact, j, wall);
     if (!j.waiting_for_.empty())
         return false;
-    if (fact.stage_ + 1 < stage_count())
+    if (fact.stage_ + 1 < stage_count(rule, fact))
         ++fact.stage_;
     else
         fact.done_ = true;
@@ -212,9 +217,10 @@
     if (good < answers_least)
         return std::to_string(good) + " of " + std::to_string(answers_least) + " good answers at this share";
 
-    const move_schedule schedule{to_wall(fact.began_), rule.deadline_};
+    const std::uint32_t stages = stage_count(rule, fact);
+    const move_schedule schedule{to_wall(fact.began_), rule.deadline_, stages};
     const wall_time since = to_wall(fact.since_);
-    if (fact.stage_ + 1 == stage_count()) {
+    if (fact.stage_ + 1 == stages) {
         const auto done_at = schedule.done_at(since);
         if (!done_at)
             return "too little time is left to watch it";
--- a/src/decide/move_tracker.h
+++ b/src/decide/move_tracker.h
@@ -17,6 +17,7 @@
 struct move_schedule {
     wall_time began_{};
     wall_time deadline_{};
+    std::uint32_t stages_ = 0;
 
     duration length() const { return deadline_ - began_; }
     // Time at the last stage before the move is done.
@@ -46,6 +47,9 @@
     std::vector<move_fact> tick(const configuration& c, const std::vector<member>& members,
                                 const daemon_name& self, wall_time wall);
 
+    // Versions that were withdrawn, or given up for another move of their service.
+    const std::set<std::pair<service_name, version_name>>& abandoned() const { return abandoned_; }
+
     // Facts of the moves that are named.
     std::vector<move_fact> facts() const;
     // The same, with the moves that passed their deadline before they were done
@@ -73,6 +77,7 @@
                           wall_time wall) const;
 
     std::set<move_id> named_;
+    std::set<std::pair<service_name, version_name>> abandoned_;
     std::map<move_id, move_fact> facts_;
     std::map<move_id, judged> judged_;
     std::set<service_name> read_;            // services whose facts the platform has told
--- a/src/decide/view.cpp
+++ b/src/decide/view.cpp
@@ -4,6 +4,7 @@
 
 #include "base/guards.h"
 #include <array>
+#include <span>
 
 namespace guavahaven::decide {
 
@@ -13,6 +14,18 @@
 // old version, since only answers of the same moment tell a bad version from a
 // bad moment. A move that is done has the whole.
 constexpr std::array later_shares{0.05, 0.15, 0.40, 0.90};
+// A move of seconds has no time for small steps.
+constexpr std::array short_later_shares{0.30, 0.80};
+constexpr duration short_move = std::chrono::seconds(30);
+
+std::span<const double> shares_after_start(const move_rule& rule, const move_fact& fact)
+{
+    const duration length =
+        rule.deadline_.time_since_epoch() - duration(static_cast<duration::rep>(fact.began_));
+    if (length < short_move)
+        return short_later_shares;
+    return later_shares;
+}
 
 } // namespace
 
@@ -49,9 +62,9 @@
     return joined;
 }
 
-std::uint32_t stage_count()
+std::uint32_t stage_count(const move_rule& rule, const move_fact& fact)
 {
-    return static_cast<std::uint32_t>(later_shares.size()) + 1;
+    return static_cast<std::uint32_t>(shares_after_start(rule, fact).size()) + 1;
 }
 
 double share_of(const move_rule& rule, const move_fact& fact)
@@ -62,8 +75,8 @@
         return 1.0;
     if (fact.stage_ == 0)
         return rule.start_share_;
-    const std::size_t later = std::min<std::size_t>(fact.stage_ - 1, later_shares.size() - 1);
-    return std::max(rule.start_share_, later_shares[later]);
+    const std::span<const double> shares = shares_after_start(rule, fact);
+    return std::max(rule.start_share_, shares[std::min<std::size_t>(fact.stage_ - 1, shares.size() - 1)]);
 }
 
 const move_fact* view::find_move(move_id id) const
--- a/src/decide/view.h
+++ b/src/decide/view.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -58,7 +59,7 @@
 double share_of(const move_rule& rule, const move_fact& fact);
 
 // Number of stages of a move; at the last one the version is watched before the move is done.
-std::uint32_t stage_count();
+std::uint32_t stage_count(const move_rule& rule, const move_fact& fact);
 
 // A data centre whose 'out' line has gone away, and when this daemon learned of it.
 struct returning_data_center {
@@ -73,6 +74,8 @@
     std::vector<member> members_;     // sorted by name
     std::vector<move_fact> moves_;
     std::vector<returning_data_center> returning_;
+    // Versions that a move was to bring in and that were withdrawn, or given up for another.
+    std::set<std::pair<service_name, version_name>> abandoned_;
 
     const move_fact* find_move(move_id id) const;
     // True for a daemon that is known to have died or left.
