A short move is tried under load for a second; callers' earlier tries count

Requests that came back late took the room of fresh ones.

Ruled out: withdrawal at the deadline as a fact (a late report that the move was done must still win: move_tracker.too_little_evidence_is_no_takeover).

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -223,6 +223,8 @@
         platform_->store_move(a.fact_);
     }
 
+    void apply(const decide::move_expired& a) { platform_->expire_move(a.fact_); }
+
     void apply(const decide::report_problem& a)
     {
         const std::string text = to_string(a.error_);
@@ -260,11 +262,29 @@
     {
         publish_evidence();
         apply(control_.handle(decide::control_tick{clock_.wall()}, clock_.now()));
+        log_waiting_moves();
         samples_.tick(control_, metrics_, clock_.wall());
         // Ticks fall on the turn of the second, at which all gates cut their evidence.
         control_timer_.arm(control_interval - clock_.wall().time_since_epoch() % control_interval);
     }
 
+    // Why a move that is judged here goes no further.
+    void log_waiting_moves()
+    {
+        if (!in_force_)
+            return;
+        for (const decide::move_rule& r : in_force_->moves_) {
+            const std::string why = control_.moves().waiting_for(r.id());
+            std::string& logged = waiting_for_[r.id()];
+            if (why == logged)
+                continue;
+            logged = why;
+            log_info("control", "move_waits",
+                     "service=" + r.service_.str() + " version=" + r.version_.str() + " reason=\"" + why +
+                         "\"");
+        }
+    }
+
     // Once a second, at its turn; a daemon that comes late waits for the next one.
     void publish_evidence()
     {
@@ -335,6 +355,7 @@
     timer stop_timer_;
     decide::configuration_ptr in_force_;
     std::set<service_name> moving_;
+    std::map<move_id, std::string> waiting_for_; // as logged last
     std::uint64_t evidence_second_ = 0;
     operators::sample_ring samples_;
     std::vector<std::string> problems_;
--- a/src/daemon/platform_task.h
+++ b/src/daemon/platform_task.h
@@ -20,6 +20,8 @@
     // Keeps seeds of the own data centre: the first of these daemons.
     virtual void keep_seeds(const std::vector<daemon_name>& candidates) = 0;
     virtual void store_move(const decide::move_fact& fact) = 0;
+    // A move was not done by its deadline, as far as this daemon knows.
+    virtual void expire_move(const decide::move_fact&) {}
     // The services under a move, whose facts are to be known.
     virtual void set_moving(const std::set<service_name>& services) = 0;
 };
--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -83,12 +83,31 @@
         pool& p = pools_[g.pool_];
         (m.data_center_ == data_center_ ? p.near_ : p.far_).push_back(&g);
     }
+    if (known.configuration_)
+        for (const move_rule& rule : known.configuration_->moves_)
+            if (const move_fact* fact = known.find_move(rule.id()); fact && on_trial(rule, *fact))
+                concentrate(pools_[{rule.service_, rule.version_}]);
     std::erase_if(gates_, [now](const auto& known_gate) {
         const gate_state& g = known_gate.second;
         return g.in_flight_ == 0 && now - g.last_seen_ > forget_after;
     });
 }
 
+// Leaves the half of a pool whose names come first, which is the same half for every daemon.
+void balancer::concentrate(pool& p)
+{
+    std::vector<daemon_name> names;
+    for (const gates* part : {&p.near_, &p.far_})
+        for (const gate_state* g : *part)
+            names.push_back(g->name_);
+    if (names.size() < 2)
+        return;
+    std::sort(names.begin(), names.end());
+    const daemon_name last = names[(names.size() + 1) / 2 - 1];
+    for (gates* part : {&p.near_, &p.far_})
+        std::erase_if(*part, [&last](const gate_state* g) { return last < g->name_; });
+}
+
 // 1 for a report of this moment, falling to 0 with its age.
 double balancer::report_weight(const gate_state& g, time_point now)
 {
--- a/src/decide/balancer.h
+++ b/src/decide/balancer.h
@@ -96,6 +96,7 @@
                                          time_point now);
     static const gate_state* choose_near_or_far(const pool& all, const usable& fits, random_engine& random,
                                                 time_point now);
+    static void concentrate(pool& p);
     bool may_eject(const gate_state& g, time_point now) const;
     void eject(gate_state& g, random_engine& random, time_point now) const;
 
--- a/src/decide/call.h
+++ b/src/decide/call.h
@@ -46,6 +46,7 @@
     std::string route_; // 'METHOD PATH' of the rule, which evidence is kept by
     configuration_number configuration_;
     duration remaining_{}; // time left to the caller's deadline
+    duration waited_{};    // before it came here, in earlier tries of its caller
     std::uint32_t depth_ = 0;
     http::request request_;
 
--- a/src/decide/call_queue.cpp
+++ b/src/decide/call_queue.cpp
@@ -38,7 +38,7 @@
         }
         refused.push_back(std::move(*gave_way));
     }
-    lane& l = lanes_[held.call_.class_];
+    lane& l = lanes_[{held.call_.class_, held.late_}];
     l.shed_ = held.shed_;
     l.priority_ = held.priority_;
     l.weight_ = std::max<std::uint32_t>(1, held.weight_);
@@ -132,8 +132,11 @@
 
 std::size_t call_queue::count_of(const class_name& name) const
 {
-    const auto at = lanes_.find(name);
-    return at == lanes_.end() ? 0 : at->second.calls_.size();
+    std::size_t count = 0;
+    for (const bool late : {false, true})
+        if (const auto at = lanes_.find({name, late}); at != lanes_.end())
+            count += at->second.calls_.size();
+    return count;
 }
 
 std::size_t call_queue::ahead_of(shed_order shed, std::uint32_t priority) const
--- a/src/decide/call_queue.h
+++ b/src/decide/call_queue.h
@@ -51,7 +51,10 @@
     held_call remove(lane& from, std::multimap<time_point, held_call>::iterator at);
     double least_served(shed_order shed) const;
 
-    std::map<class_name, lane> lanes_;
+    // Those of a class that are late already wait apart.
+    using lane_key = std::pair<class_name, bool>;
+
+    std::map<lane_key, lane> lanes_;
     std::size_t size_ = 0;
     std::size_t kept_ = 0;
     std::size_t bytes_ = 0;
--- a/src/decide/control.cpp
+++ b/src/decide/control.cpp
@@ -443,8 +443,21 @@
     for (const move_fact& f : changed)
         actions_.push_back(store_move{f});
     spread(changed, daemon_name());
-    if (view_->moves_ != effective_moves())
+    const std::vector<move_fact> effective = effective_moves();
+    if (view_->moves_ != effective)
         view_stale_ = true; // a deadline has passed
+    tell_expired(effective);
+}
+
+void control::tell_expired(const std::vector<move_fact>& effective)
+{
+    const std::vector<move_fact> stated = moves_.facts();
+    for (const move_fact& f : effective) {
+        const bool is_stated = std::any_of(
+            stated.begin(), stated.end(), [&](const move_fact& s) { return s.id_ == f.id_ && s.withdrawn_; });
+        if (f.withdrawn_ && !is_stated && watching_ && expired_.insert(f.id_).second)
+            actions_.push_back(move_expired{f});
+    }
 }
 
 std::vector<move_fact> control::effective_moves() const
--- a/src/decide/control.h
+++ b/src/decide/control.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -99,13 +100,19 @@
     move_fact fact_;
     friend bool operator==(const store_move&, const store_move&) = default;
 };
+// A move's deadline has passed before it was done. That is no fact: a report of
+// its end may still be on its way.
+struct move_expired {
+    move_fact fact_;
+    friend bool operator==(const move_expired&, const move_expired&) = default;
+};
 // A refusal that operators should see.
 struct report_problem {
     error error_;
     friend bool operator==(const report_problem&, const report_problem&) = default;
 };
-using control_action =
-    std::variant<send_control, publish_view, watch_platform, keep_seeds, store_move, report_problem>;
+using control_action = std::variant<send_control, publish_view, watch_platform, keep_seeds, store_move,
+                                    move_expired, report_problem>;
 using control_actions = std::vector<control_action>;
 
 class control {
@@ -173,6 +180,7 @@
     void update_watch(time_point now);
     void note_pause(time_point now);
     void judge_moves();
+    void tell_expired(const std::vector<move_fact>& effective);
     // Facts as they act now, deadlines included.
     std::vector<move_fact> effective_moves() const;
 
@@ -181,7 +189,8 @@
     configuration_parser parse_;
     distribution distribution_;
     order_book orders_;
-    configuration_ptr rules_; // in force: rules file and orders
+    std::set<move_id> expired_; // told as such
+    configuration_ptr rules_;   // in force: rules file and orders
     readiness readiness_;
     move_tracker moves_;
     return_tracker returns_;
--- a/src/decide/entry.cpp
+++ b/src/decide/entry.cpp
@@ -91,8 +91,14 @@
     r.exchange_ = e.exchange_;
     r.started_ = now;
     duration wait = class_of_route->deadline_;
-    if (const auto asked = header_number(e.request_, protocol_.deadline_header_))
-        wait = std::min<duration>(wait, std::chrono::milliseconds(std::min(*asked, wait_most)));
+    if (const auto asked = header_number(e.request_, protocol_.deadline_header_)) {
+        const duration patience = std::chrono::milliseconds(std::min(*asked, wait_most));
+        wait = std::min(wait, patience);
+        duration& most = patience_[route->class_];
+        most = std::max(most, patience);
+        if (class_of_route->objective_ > duration::zero())
+            r.call_.waited_ = most - patience;
+    }
     r.deadline_ = now + wait;
     r.call_.once_ = class_of_route->once_ || (!class_of_route->repeat_ && !idempotent(e.request_.method_));
     r.call_.service_ = choose_service(*route);
@@ -194,7 +200,12 @@
 
 void entry::attempt(request_state& r, time_point now, code last_failure)
 {
-    const auto gate = choose_gate(r, now);
+    auto gate = choose_gate(r, now);
+    // With no other one left, the request goes to the same once more, if it may.
+    if (!gate && r.maybe_ran_ && !r.call_.once_) {
+        r.tried_.clear();
+        gate = choose_gate(r, now);
+    }
     if (!gate)
         return fail(r, now, last_failure);
     send_attempt(r, *gate, now);
@@ -330,6 +341,8 @@
                                                 : tell_duplicate(r, now, m.earlier_status_);
     }
     close_attempt(r, end_of(m.code_), now);
+    if (m.code_ == code::deadline_exceeded) // it has only waited there
+        return fail(r, now, code::not_run);
     try_elsewhere(r, now, m.code_);
 }
 
--- a/src/decide/entry.h
+++ b/src/decide/entry.h
@@ -182,6 +182,9 @@
     view_ptr view_;
     balancer balancer_;
     std::map<service_name, retry_budget> budgets_;
+    // The longest wait that callers of a class have asked for: of one that asks
+    // for less, part has passed in its earlier tries.
+    std::map<class_name, duration> patience_;
     std::uint64_t last_sequence_ = 0;
     std::map<exchange_id, request_state> requests_;
     std::map<call_id, exchange_id> attempts_; // those under way
--- a/src/decide/gate.cpp
+++ b/src/decide/gate.cpp
@@ -9,7 +9,9 @@
 
 namespace {
 
-constexpr int status_shed = 503;                 // the backend server's own refusal
+constexpr int status_shed = 503;                                 // the backend server's own refusal
+constexpr duration refusal_lead = std::chrono::milliseconds(25); // for it to reach the caller in time
+constexpr int late_wait = 2; // times the estimate, as others go before a call that is late already
 constexpr std::uint32_t cold_rate_unstated = 10; // requests a second that a cold backend server bears
 constexpr std::size_t waiters_most = 8;          // attempts that share the answer of one run
 constexpr std::uint64_t first_configuration = 1;
@@ -272,12 +274,15 @@
         return held;
     // Of the least urgent, what would be late takes the room of what could be in
     // time: it is refused at once. The others wait as long as they may.
-    if (rule->objective_ > duration::zero() && rule->priority_ == view_->configuration_->least_urgent())
-        held.useful_until_ = std::min(held.deadline_, now + rule->objective_);
+    if (rule->objective_ > duration::zero() && rule->priority_ == view_->configuration_->least_urgent()) {
+        held.late_ = c.waited_ >= rule->objective_;
+        if (!held.late_)
+            held.useful_until_ = std::min(held.deadline_, now + rule->objective_ - c.waited_);
+    }
     held.shed_ = rule->shed_;
     held.keep_ = rule->keep_;
     held.weight_ = rule->weight_;
-    held.priority_ = rule->priority_;
+    held.priority_ = rule->priority_ + (held.late_ ? 1 : 0); // those that can be in time go first
     return held;
 }
 
@@ -301,6 +306,8 @@
     duration wait = limit_.mean_run() * before / std::max<duration::rep>(1, limit_.value());
     if (cold_)
         wait = std::max<duration>(wait, std::chrono::seconds(1) * before / cold_rate());
+    if (held.late_)
+        wait *= late_wait;
     return now + wait + limit_.mean_run(held.call_.route_) > held.useful_until_;
 }
 
@@ -533,7 +540,7 @@
 void gate::on(const gate_tick&, time_point now)
 {
     cold_ = pace_.cold(now) && backend_ && backend_->cold_left_;
-    for (const held_call& held : waiting_.take_expired(now))
+    for (const held_call& held : waiting_.take_expired(now + refusal_lead))
         refuse(held, code::deadline_exceeded, now);
     tend_claims(now);
     tell_homes_again(now);
--- a/src/decide/held_call.h
+++ b/src/decide/held_call.h
@@ -34,6 +34,7 @@
     call call_;
     time_point deadline_;
     time_point useful_until_; // its deadline, or the objective of its class if that is sooner
+    bool late_ = false;       // the objective of its class has passed already
     time_point started_{};    // of the run
     shed_order shed_ = shed_order::normal;
     bool keep_ = false;
--- a/src/decide/move_tracker.cpp
+++ b/src/decide/move_tracker.cpp
@@ -15,11 +15,15 @@
 constexpr int safety_part = 20;               // of the length, kept free before the deadline
 constexpr std::uint64_t answers_least = 10;   // good ones of the new version at each stage
 constexpr std::uint64_t route_runs_least = 3; // of the new version on each route in use
+constexpr double share_most = 0.95;           // for what a route is owed
 constexpr std::uint64_t route_in_use = 30;    // runs of the old version at a stage
 constexpr double capacity_used_most = 1.0;    // mean runs at once, of what the gates admit now
 constexpr duration evidence_delay = std::chrono::milliseconds(600); // for reports of a second to come in
 constexpr duration platform_patience = std::chrono::seconds(5);
 constexpr std::size_t withdrawals_kept = 64;
+constexpr std::uint32_t short_stages = 3;
+constexpr duration trial_length = std::chrono::milliseconds(1000);
+constexpr duration trial_lateness = std::chrono::milliseconds(700); // of its end's news
 
 wall_time to_wall(std::uint64_t microseconds)
 {
@@ -46,6 +50,8 @@
 
 duration move_schedule::dwell(std::uint32_t stage, wall_time stage_began) const
 {
+    if (stages_ == short_stages)
+        return stage == 0 ? length() / 2 : trial_length;
     const int stages_left = static_cast<int>(stages_ - 1 - std::min(stage, stages_ - 1));
     const duration ramp_left = deadline_ - length() / safety_part - watch() - stage_began;
     return std::clamp<duration>(ramp_left / std::max(1, stages_left), dwell_least, dwell_most);
@@ -191,7 +197,7 @@
         j.stage_ = fact.stage_;
         j.at_stage_ = j.judge_.totals();
     }
-    j.waiting_for_ = hindrance(rule, fact, j, wall);
+    j.waiting_for_ = on_trial(rule, fact) ? trial_hindrance(fact, wall) : hindrance(rule, fact, j, wall);
     if (!j.waiting_for_.empty())
         return false;
     if (fact.stage_ + 1 < stage_count(rule, fact))
@@ -201,17 +207,27 @@
     return true;
 }
 
+// A trial ends by time alone; what it has shown is weighed afterwards.
+std::string move_tracker::trial_hindrance(const move_fact& fact, wall_time wall)
+{
+    return wall < to_wall(fact.since_) + trial_length ? "on trial under load" : "";
+}
+
 std::string move_tracker::hindrance(const move_rule& rule, const move_fact& fact, const judged& j,
                                     wall_time wall) const
 {
     if (j.judge_.doubtful())
         return "a badness is likely but not shown";
     std::uint64_t good = 0;
+    const double share = share_of(rule, fact);
     for (const auto& [key, now] : j.judge_.totals()) {
         const auto before = j.at_stage_.find(key);
         const run_totals grown = difference(now, before == j.at_stage_.end() ? run_totals{} : before->second);
         good += grown.new_ran_ - grown.new_failed_;
-        if (grown.old_ran_ >= route_in_use && grown.new_ran_ < route_runs_least)
+        // At a small share a route in use may be owed less than that.
+        const double owed = static_cast<double>(grown.old_ran_) * share / (1 - std::min(share, share_most));
+        if (grown.old_ran_ >= route_in_use && owed >= 2 * static_cast<double>(route_runs_least) &&
+            grown.new_ran_ < route_runs_least)
             return "too few runs on route " + key.route_;
     }
     if (good < answers_least)
@@ -245,12 +261,23 @@
     return all;
 }
 
+// The judges may be gone or stand still while a version is on trial.
+void move_tracker::end_overdue_trial(const move_rule& rule, std::vector<move_fact>& all, wall_time wall)
+{
+    for (move_fact& f : all)
+        if (f.id_ == rule.id() && on_trial(rule, f) &&
+            wall > to_wall(f.since_) + trial_length + trial_lateness)
+            ++f.stage_;
+}
+
 std::vector<move_fact> move_tracker::effective_facts(const configuration& c, wall_time wall) const
 {
     std::vector<move_fact> all = facts();
     for (const move_rule& rule : c.moves_) {
-        if (wall < rule.deadline_)
+        if (wall < rule.deadline_) {
+            end_overdue_trial(rule, all, wall);
             continue;
+        }
         auto at =
             std::find_if(all.begin(), all.end(), [&](const move_fact& f) { return f.id_ == rule.id(); });
         if (at == all.end()) {
--- a/src/decide/move_tracker.h
+++ b/src/decide/move_tracker.h
@@ -73,6 +73,8 @@
     judged& judged_of(const configuration& c, const move_rule& rule, const move_fact& fact);
     bool judge(const configuration& c, const move_rule& rule, move_fact& fact, wall_time wall);
     // What the next stage waits for; empty if nothing.
+    static std::string trial_hindrance(const move_fact& fact, wall_time wall);
+    static void end_overdue_trial(const move_rule& rule, std::vector<move_fact>& all, wall_time wall);
     std::string hindrance(const move_rule& rule, const move_fact& fact, const judged& j,
                           wall_time wall) const;
 
--- a/src/decide/view.cpp
+++ b/src/decide/view.cpp
@@ -14,15 +14,21 @@
 // old version, since only answers of the same moment tell a bad version from a
 // bad moment. A move that is done has the whole.
 constexpr std::array later_shares{0.05, 0.15, 0.40, 0.90};
-// A move of seconds has no time for small steps.
-constexpr std::array short_later_shares{0.30, 0.80};
+// A move of seconds has no time for small steps: after a while at the first
+// share it is tried under load for a moment, and watched at the first share
+// again, so that a bad version gets few requests whenever it turns bad. At the
+// trial the old version keeps enough to be compared with.
+constexpr std::array short_later_shares{0.65, 0.0};
 constexpr duration short_move = std::chrono::seconds(30);
 
+bool is_short(const move_rule& rule, const move_fact& fact)
+{
+    return rule.deadline_.time_since_epoch() - duration(static_cast<duration::rep>(fact.began_)) < short_move;
+}
+
 std::span<const double> shares_after_start(const move_rule& rule, const move_fact& fact)
 {
-    const duration length =
-        rule.deadline_.time_since_epoch() - duration(static_cast<duration::rep>(fact.began_));
-    if (length < short_move)
+    if (is_short(rule, fact))
         return short_later_shares;
     return later_shares;
 }
@@ -67,6 +73,11 @@
     return static_cast<std::uint32_t>(shares_after_start(rule, fact).size()) + 1;
 }
 
+bool on_trial(const move_rule& rule, const move_fact& fact)
+{
+    return is_short(rule, fact) && fact.stage_ == 1 && !fact.done_ && !fact.withdrawn_;
+}
+
 double share_of(const move_rule& rule, const move_fact& fact)
 {
     if (fact.withdrawn_ && guarded(guard::withdrawn_refusal))
--- a/src/decide/view.h
+++ b/src/decide/view.h
@@ -59,6 +59,10 @@
 double share_of(const move_rule& rule, const move_fact& fact);
 
 // Number of stages of a move; at the last one the version is watched before the move is done.
+// True while a short move's new version is tried under load: half of its backend
+// servers get its whole share.
+bool on_trial(const move_rule& rule, const move_fact& fact);
+
 std::uint32_t stage_count(const move_rule& rule, const move_fact& fact);
 
 // A data centre whose 'out' line has gone away, and when this daemon learned of it.
