--- /dev/null
+++ b/tests/base/http_reader_test.cpp
@@ -0,0 +1,90 @@
+// Messages that two readers could take in two ways are refused.
+
+#include "base/http_reader.h"
+
+#include <gtest/gtest.h>
+
+namespace guavahaven::http {
+
+namespace {
+
+using kind = message_reader::kind;
+
+// Offers bytes in pieces; what is left over is offered again.
+std::size_t offer(message_reader& reader, const std::string& bytes, std::size_t piece)
+{
+    std::string pending;
+    std::size_t taken = 0;
+    for (std::size_t at = 0; at < bytes.size() && !reader.done() && !reader.fault(); at += piece) {
+        pending += bytes.substr(at, piece);
+        const std::size_t used = reader.read(pending);
+        pending.erase(0, used);
+        taken += used;
+    }
+    return taken;
+}
+
+std::optional<read_fault> fault_of(const std::string& bytes)
+{
+    message_reader reader(kind::request, {});
+    offer(reader, bytes, bytes.size());
+    return reader.fault();
+}
+
+} // namespace
+
+TEST(http_reader, reads_a_message_in_any_pieces)
+{
+    const std::string first = "POST /a?b=c HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nmaria";
+    for (std::size_t piece = 1; piece <= first.size(); ++piece) {
+        message_reader reader(kind::request, {});
+        EXPECT_EQ(offer(reader, first + "GET", piece), first.size());
+        ASSERT_TRUE(reader.done());
+        EXPECT_EQ(reader.method(), "POST");
+        EXPECT_EQ(reader.target(), "/a?b=c");
+        EXPECT_EQ(reader.take_body(), "maria");
+        EXPECT_TRUE(reader.keep_alive());
+    }
+}
+
+TEST(http_reader, refuses_what_two_readers_could_take_in_two_ways)
+{
+    const std::string line = "POST / HTTP/1.1\r\nHost: x\r\n";
+    for (const char* fields :
+         {"Content-Length: 4\r\nContent-Length: 5\r\n", "Content-Length : 4\r\n", "Content-Length: +4\r\n",
+          "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n", "Transfer-Encoding: gzip\r\n",
+          "Transfer-Encoding: chunked, identity\r\n"}) {
+        SCOPED_TRACE(fields);
+        EXPECT_EQ(fault_of(line + fields + "\r\nabcd"), read_fault::malformed);
+    }
+}
+
+TEST(http_reader, tells_what_is_too_large)
+{
+    const std::string huge(20'000, 'x');
+    EXPECT_EQ(fault_of("GET / HTTP/1.1\r\nLong: " + huge + "\r\n\r\n"), read_fault::head_too_large);
+    message_reader reader(kind::request, {1024, 10});
+    offer(reader, "POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\nabcdefghijk", 7);
+    EXPECT_EQ(reader.fault(), read_fault::body_too_large);
+}
+
+TEST(http_reader, a_response_without_a_length_ends_with_its_connection)
+{
+    message_reader reader(kind::response, {});
+    offer(reader, "HTTP/1.1 200 OK\r\n\r\nhalf", 100);
+    EXPECT_TRUE(reader.ends_with_connection());
+    EXPECT_FALSE(reader.done());
+    reader.end_of_stream();
+    EXPECT_TRUE(reader.done());
+
+    // One that has stated its length, or not even begun, is cut short by that
+    for (const char* bytes : {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", "HTTP/1.1 20", ""}) {
+        SCOPED_TRACE(bytes);
+        message_reader cut(kind::response, {});
+        offer(cut, bytes, 100);
+        cut.end_of_stream();
+        EXPECT_EQ(cut.fault(), read_fault::malformed);
+    }
+}
+
+} // namespace guavahaven::http
--- /dev/null
+++ b/tests/decide/short_move_test.cpp
@@ -0,0 +1,132 @@
+// Moves of seconds, and services whose versions only moves tell apart.
+
+#include <gtest/gtest.h>
+
+#include "decide/balancer.h"
+#include "decide/move_tracker.h"
+
+namespace guavahaven::decide {
+
+namespace {
+
+using std::chrono::seconds;
+
+const service_name board("board");
+const version_name v1("v1");
+const version_name v2("v2");
+const version_name any(std::string{any_version});
+
+wall_time wall_at(double second)
+{
+    return wall_time(duration(static_cast<duration::rep>((1'000'000 + second) * 1e6)));
+}
+
+move_fact fact_at(const move_rule& rule, std::uint32_t stage)
+{
+    move_fact f;
+    f.id_ = rule.id();
+    f.service_ = rule.service_;
+    f.version_ = rule.version_;
+    f.stage_ = stage;
+    f.began_ = static_cast<std::uint64_t>(wall_at(0).time_since_epoch().count());
+    f.since_ = f.began_;
+    return f;
+}
+
+class short_move : public testing::Test {
+protected:
+    short_move()
+    {
+        rule_.service_ = board;
+        rule_.version_ = v2;
+        rule_.deadline_ = wall_at(13);
+        rule_.start_share_ = 0.06;
+        auto rules = std::make_shared<configuration>();
+        rules->services_.push_back({board, any, {}, {}});
+        rules->moves_.push_back(rule_);
+        known_.configuration_ = rules;
+        for (int i = 0; i < 8; ++i) {
+            member m;
+            m.name_ = daemon_name("10.0.0." + std::to_string(i) + ":1");
+            m.service_ = board;
+            m.version_ = i < 4 ? v1 : v2;
+            m.slots_ = 12;
+            known_.members_.push_back(m);
+        }
+    }
+    // Gates that a version's calls go to, with this fact in force.
+    std::set<std::string> gates_of(const version_name& version, const move_fact& f)
+    {
+        known_.moves_ = {f};
+        balancer balancer{data_center_name("leon")};
+        balancer.set_view(known_, now_);
+        std::set<std::string> seen;
+        random_engine random(1);
+        for (int i = 0; i < 200; ++i)
+            if (const auto gate = balancer.choose(board, version, {}, random, now_))
+                seen.insert(gate->str());
+        return seen;
+    }
+
+    move_rule rule_;
+    view known_;
+    time_point now_{seconds(100)};
+};
+
+} // namespace
+
+TEST_F(short_move, gives_a_bad_version_less_than_a_tenth_whenever_it_turns_bad)
+{
+    // What it gets at its stages until it is done: half of the time at the first, one
+    // second on trial, the rest at the first share again
+    double sum = 0;
+    for (double t = 0; t < 13; t += 0.1) {
+        const std::uint32_t stage = t < 6.5 ? 0 : t < 7.5 ? 1 : 2;
+        sum += 0.1 * share_of(rule_, fact_at(rule_, stage));
+    }
+    EXPECT_LT(sum / 16, 0.1);
+    EXPECT_TRUE(on_trial(rule_, fact_at(rule_, 1)));
+    EXPECT_EQ(stage_count(rule_, fact_at(rule_, 0)), 3U);
+}
+
+TEST_F(short_move, tries_half_of_the_new_backend_servers_under_load)
+{
+    EXPECT_EQ(gates_of(v2, fact_at(rule_, 0)).size(), 4U);
+    EXPECT_EQ(gates_of(v2, fact_at(rule_, 1)), (std::set<std::string>{"10.0.0.4:1", "10.0.0.5:1"}));
+}
+
+TEST_F(short_move, ends_a_trial_whose_judges_stand_still)
+{
+    move_tracker tracker;
+    tracker.set_configuration(*known_.configuration_);
+    tracker.merge(std::vector<move_fact>{fact_at(rule_, 1)});
+    EXPECT_EQ(tracker.effective_facts(*known_.configuration_, wall_at(1.2)).front().stage_, 1U);
+    EXPECT_EQ(tracker.effective_facts(*known_.configuration_, wall_at(2)).front().stage_, 2U);
+}
+
+TEST_F(short_move, any_version_is_all_but_the_one_that_is_brought_in)
+{
+    EXPECT_EQ(*gates_of(any, fact_at(rule_, 0)).rbegin(), "10.0.0.3:1");
+    // Once it is done there are no others
+    move_fact done = fact_at(rule_, 2);
+    done.done_ = true;
+    EXPECT_TRUE(gates_of(any, done).empty());
+    EXPECT_EQ(gates_of(v2, done).size(), 4U);
+}
+
+TEST_F(short_move, a_version_that_was_given_up_is_no_part_of_any)
+{
+    move_tracker tracker;
+    tracker.set_configuration(*known_.configuration_);
+    tracker.merge(std::vector<move_fact>{fact_at(rule_, 0)});
+    // Another move takes its place before it was done
+    configuration next = *known_.configuration_;
+    next.moves_.front().version_ = version_name("v3");
+    tracker.set_configuration(next);
+    EXPECT_EQ(tracker.abandoned(), (std::set<std::pair<service_name, version_name>>{{board, v2}}));
+    known_.abandoned_ = tracker.abandoned();
+    known_.configuration_ = std::make_shared<const configuration>(next);
+    EXPECT_EQ(*gates_of(any, move_fact{}).rbegin(), "10.0.0.3:1");
+}
+
+} // namespace guavahaven::decide
--- /dev/null
+++ b/tests/decide/stated_backend_test.cpp
@@ -0,0 +1,96 @@
+// Backend servers that state their slots and how long they are cold.
+
+#include "support/gate_harness.h"
+
+namespace guavahaven::decide {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class stated_backend : public testing::Test, protected support::gate_harness {
+protected:
+    stated_backend() { announce(seconds(0)); }
+
+    void announce(duration cold_left, std::uint64_t start = 2, bool draining = false)
+    {
+        handle(backend_announced{service_name("desk"), version_name("v1"), 12, 20, draining, start,
+                                 "i-" + std::to_string(start), cold_left});
+    }
+    // Offers calls faster than they are borne; how many began within the time.
+    std::size_t begun_within(duration time)
+    {
+        const std::size_t before = runs_.size();
+        for (duration passed{}; passed < time; passed += milliseconds(10)) {
+            for (int i = 0; i < 2; ++i)
+                send(make(++sequence_));
+            for (; answered_ < runs_.size(); ++answered_)
+                answer(runs_[answered_]);
+            pass(milliseconds(10));
+        }
+        return runs_.size() - before;
+    }
+
+    std::uint64_t sequence_ = 0;
+    std::size_t answered_ = 0;
+};
+
+} // namespace
+
+TEST_F(stated_backend, gets_its_slots_at_once_when_warm)
+{
+    for (std::uint64_t i = 1; i <= 20; ++i)
+        send(make(i));
+    EXPECT_EQ(runs_.size(), 12U);
+}
+
+TEST_F(stated_backend, gets_so_many_a_second_while_cold)
+{
+    constexpr std::size_t unstated_rate = 10; // the rules of this test state none
+    announce(seconds(3));
+    EXPECT_LE(begun_within(seconds(1)), unstated_rate);
+    EXPECT_LE(begun_within(seconds(1)), unstated_rate);
+    // And again when it turns cold without warning, by its own word
+    announce(seconds(0));
+    EXPECT_GT(begun_within(seconds(1)), unstated_rate);
+    announce(seconds(2));
+    EXPECT_LE(begun_within(seconds(1)), unstated_rate);
+}
+
+TEST_F(stated_backend, that_cut_a_run_is_held_for_cold_until_it_answers_or_says_otherwise)
+{
+    send(make(1));
+    now_ += milliseconds(5);
+    handle(run_broken{runs_.back()});
+    EXPECT_LT(gate_.load().limit_, 12U);
+    // It answers a run that began later: it only cut the connection
+    now_ += milliseconds(1);
+    send(make(2));
+    now_ += milliseconds(5);
+    answer(runs_.back());
+    pass(milliseconds(1));
+    EXPECT_EQ(gate_.load().limit_, 12U);
+}
+
+TEST_F(stated_backend, whose_place_another_took_gets_nothing_until_it_announces_itself)
+{
+    send(make(1));
+    handle(run_refused{runs_.back(), true});
+    EXPECT_EQ(refused(), code::backend_unreachable);
+    send(make(2));
+    EXPECT_EQ(refused(), code::no_backend_server);
+    announce(seconds(0), 3);
+    send(make(3));
+    EXPECT_EQ(runs_.size(), 2U);
+}
+
+TEST_F(stated_backend, refusal_of_a_request_is_passed_on_as_not_run)
+{
+    send(make(1));
+    handle(run_refused{runs_.back(), false});
+    EXPECT_EQ(refused(), code::backend_refused);
+    EXPECT_EQ(fence(make(1)), fate::never_ran);
+}
+
+} // namespace guavahaven::decide
--- /dev/null
+++ b/tests/platform/rules_test.cpp
@@ -0,0 +1,114 @@
+#include "rules.h"
+
+#include <gtest/gtest.h>
+
+#include "decide/routing.h"
+#include "operator/rules.h"
+
+namespace guavahaven::platform {
+
+namespace {
+
+using nlohmann::json;
+
+const json main_object = json::parse(R"({"version":"r7","routes":{
+    "r-b":{"host":"b.example","pathPrefix":"/p/","routeType":"non_idempotent","timeoutS":1.5,
+           "targetLatencyS":0.5,"priority":1,"service":"desk","numAttempts":2},
+    "r-a":{"host":"a.example","pathPrefix":"/l/","routeType":"idempotent","timeoutS":1.2,
+           "targetLatencyS":0.4,"priority":2,"numAttempts":2,
+           "weightedClusters":[{"service":"board","weight":90},{"service":"desk","weight":10}]}},
+    "services":{"board":{"slowStartS":3.0,"coldPerS":14.0,"maxConnections":120},
+                "desk":{"slowStartS":0,"coldPerS":14.0,"maxConnections":120}},
+    "limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutS":3,"idleTimeoutS":15}})");
+
+stored_object object(const json& spec, const json& status = {})
+{
+    return {"board", 530, 412, spec, status};
+}
+
+// True if daemons would put it in force.
+bool usable(const json& spec)
+{
+    const auto record = to_rules(object(spec), {0.12, 60});
+    return ok(record) && ok(operators::parse_record(value(record)));
+}
+
+stored_object rollout(const json& status = {})
+{
+    return object({{"service", "board"}, {"targetVersion", "v2"}, {"durationS", 12.5}}, status);
+}
+
+} // namespace
+
+TEST(platform_rules, are_the_operators_configuration_one_rule_a_line)
+{
+    const auto record = to_rules(object(main_object), {0.12, 60});
+    ASSERT_TRUE(ok(record));
+    EXPECT_EQ(value(record).number_, configuration_number(7));
+    const auto parsed = operators::parse_record(value(record));
+    ASSERT_TRUE(ok(parsed)) << to_string(failure(parsed));
+    const decide::configuration& c = value(parsed);
+
+    // A request goes where host and prefix say
+    const decide::route_rule* route = decide::find_route(c, {"POST", "/l/1", {{"Host", "a.example"}}, ""});
+    ASSERT_NE(route, nullptr);
+    EXPECT_EQ(route->origin_.asked_by_, "r-a");
+    EXPECT_EQ(route->services_, (std::vector<decide::weighted_service>{{service_name("board"), 90},
+                                                                       {service_name("desk"), 10}}));
+    EXPECT_EQ(decide::find_route(c, {"GET", "/l/1", {{"Host", "b.example"}}, ""}), nullptr);
+    // What may be repeated follows from the kind of the route
+    EXPECT_TRUE(c.find_class(route->class_)->repeat_);
+    EXPECT_EQ(c.find_class(route->class_)->objective_, std::chrono::milliseconds(400));
+    route = decide::find_route(c, {"GET", "/p/", {{"Host", "B.example"}}, ""});
+    ASSERT_NE(route, nullptr);
+    EXPECT_TRUE(c.find_class(route->class_)->once_);
+    EXPECT_EQ(c.find_class(route->class_)->deadline_, std::chrono::milliseconds(1500));
+    // Cold limits only where there is a cold time
+    EXPECT_EQ(c.find_service(service_name("board"))->cold_, (decide::cold_rule{14, std::chrono::seconds(3)}));
+    EXPECT_FALSE(c.find_service(service_name("desk"))->cold_);
+    EXPECT_EQ(c.callers_->body_bytes_, 67108864U);
+    EXPECT_EQ(c.retry_of(service_name("board")).reserve_, 60U);
+}
+
+TEST(platform_rules, of_an_object_that_can_not_be_read_are_none)
+{
+    for (const char* part :
+         {"/version", "/routes/r-a/host", "/routes/r-b/timeoutS", "/services", "/limits/maxBodyBytes"}) {
+        SCOPED_TRACE(part);
+        json broken = main_object;
+        broken[json::json_pointer(part)] = json::array();
+        EXPECT_FALSE(usable(broken));
+    }
+    EXPECT_TRUE(usable(main_object));
+    json numberless = main_object;
+    numberless["version"] = "rx";
+    EXPECT_FALSE(usable(numberless));
+}
+
+TEST(platform_orders, are_moves_and_outs_with_their_progress)
+{
+    const wall_time deadline{std::chrono::milliseconds(1'700'000'000'250)};
+    const auto move = move_order(rollout(), deadline);
+    ASSERT_TRUE(ok(move));
+    EXPECT_EQ(value(move).rule_,
+              "move board to v2 by 2023-11-14T22:13:20.250Z from 6% as 412 # the operators");
+    EXPECT_EQ(out_order({"leon", 9, 9, {}, {}}).rule_, "out leon # the operators");
+    EXPECT_EQ(value(rollout_length(rollout())), std::chrono::milliseconds(12'500));
+
+    // The fact has the identity of the rule that the order becomes
+    const auto parsed = operators::parse_rules("service board version * # x\n" + value(move).rule_ + "\n");
+    const auto* c = std::get_if<decide::configuration>(&parsed);
+    ASSERT_NE(c, nullptr);
+    EXPECT_EQ(c->moves_.front().deadline_, deadline);
+    const auto fact = to_fact(rollout({{"state", "rolled_back"}, {"targetVersion", "v2"}}), deadline);
+    ASSERT_TRUE(ok(fact));
+    EXPECT_EQ(value(fact).id_, c->moves_.front().id());
+    EXPECT_TRUE(value(fact).withdrawn_);
+    EXPECT_EQ(to_status(value(fact)), json({{"state", "rolled_back"}, {"targetVersion", "v2"}}));
+    // A status that an earlier order has left says nothing of this one
+    EXPECT_FALSE(
+        value(to_fact(rollout({{"state", "rolled_back"}, {"targetVersion", "v1"}}), deadline)).withdrawn_);
+    EXPECT_FALSE(ok(move_order(object({{"service", 4}}), deadline)));
+}
+
+} // namespace guavahaven::platform
