--- a/src/base/http_client.cpp
+++ b/src/base/http_client.cpp
@@ -54,10 +54,10 @@
 class client::connection : public std::enable_shared_from_this<client::connection> {
 public:
     explicit connection(client& owner)
-        : owner_(owner), reader_(message_reader::kind::response, {head_most, body_most}),
+        : owner_(owner), stream_(bufferevent_socket_new(owner.loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE)),
+          reader_(message_reader::kind::response, {head_most, body_most}),
           timeout_(owner.loop_, [this] { fail(); })
     {
-        stream_ = bufferevent_socket_new(owner_.loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
         bufferevent_setcb(stream_, &connection::on_read, nullptr, &connection::on_event, this);
         evbuffer_add_cb(bufferevent_get_output(stream_), &connection::on_written, this);
         bufferevent_enable(stream_, EV_READ | EV_WRITE);
@@ -260,7 +260,7 @@
     }
 
     client& owner_;
-    bufferevent* stream_ = nullptr;
+    bufferevent* stream_;
     message_reader reader_;
     timer timeout_;
     stream_handler handler_;
--- a/src/decide/order_book.cpp
+++ b/src/decide/order_book.cpp
@@ -46,12 +46,13 @@
                                          std::uint64_t revision)
 {
     std::vector<order> all = held;
-    for (const auto& [subject, known] : orders_) {
-        const bool missing =
-            std::none_of(held.begin(), held.end(), [&](const order& o) { return o.subject_ == subject; });
-        if (subject.starts_with(subject_start) && missing && !known.rule_.empty() &&
+    for (const auto& item : orders_) {
+        const order& known = item.second;
+        const bool missing = std::none_of(held.begin(), held.end(),
+                                          [&](const order& o) { return o.subject_ == known.subject_; });
+        if (known.subject_.starts_with(subject_start) && missing && !known.rule_.empty() &&
             known.revision_ <= revision)
-            all.push_back({subject, revision, "", ""});
+            all.push_back({known.subject_, revision, "", ""});
     }
     return merge(all);
 }
--- a/tests/fakes/platform.cpp
+++ b/tests/fakes/platform.cpp
@@ -83,7 +83,7 @@
     static constexpr duration tick_interval = std::chrono::milliseconds(10);
     using exchange_ptr = std::shared_ptr<http::exchange>;
 
-    static http::server_limits limits() { return {64 * 1024, 2 * 1024 * 1024, std::chrono::seconds(120)}; }
+    static http::server_limits limits() { return {{64 * 1024, 2 * 1024 * 1024}, std::chrono::seconds(120)}; }
 
     void receive(const exchange_ptr& e)
     {
--- a/tests/platform/registration_test.cpp
+++ b/tests/platform/registration_test.cpp
@@ -62,7 +62,8 @@
              {"2.5", "-1"},
              {"1700000000123", "1.5"},
              {"{\"address\"", "[\"address\""}}) {
-        SCOPED_TRACE(part + " -> " + by);
+        SCOPED_TRACE(part);
+        SCOPED_TRACE(by);
         EXPECT_FALSE(ok(read("PUT", with(heartbeat, part, by))));
     }
     EXPECT_FALSE(ok(read("PUT", "\xff\xfe")));
