--- a/tests/base/http_answers_test.cpp
+++ b/tests/base/http_answers_test.cpp
@@ -38,7 +38,12 @@
                                             LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE, -1,
                                             reinterpret_cast<const sockaddr*>(&where), sizeof where);
     }
-    ~scripted_server() { evconnlistener_free(listener_); }
+    ~scripted_server()
+    {
+        for (bufferevent* stream : streams_)
+            bufferevent_free(stream);
+        evconnlistener_free(listener_);
+    }
     scripted_server(const scripted_server&) = delete;
     scripted_server& operator=(const scripted_server&) = delete;
 
@@ -46,6 +51,7 @@
     static void accept(evconnlistener* l, evutil_socket_t fd, sockaddr*, int, void* self)
     {
         bufferevent* stream = bufferevent_socket_new(evconnlistener_get_base(l), fd, BEV_OPT_CLOSE_ON_FREE);
+        static_cast<scripted_server*>(self)->streams_.push_back(stream);
         bufferevent_setcb(stream, &scripted_server::read, &scripted_server::written, nullptr, self);
         bufferevent_enable(stream, EV_READ | EV_WRITE);
     }
@@ -61,14 +67,17 @@
     }
     static void written(bufferevent* stream, void* self)
     {
-        const auto& s = *static_cast<scripted_server*>(self);
-        if (s.closes_ && s.answered_)
-            bufferevent_free(stream);
+        auto& s = *static_cast<scripted_server*>(self);
+        if (!s.closes_ || !s.answered_)
+            return;
+        std::erase(s.streams_, stream);
+        bufferevent_free(stream);
     }
 
     std::string script_;
     bool closes_;
     bool answered_ = false;
+    std::vector<bufferevent*> streams_;
     evconnlistener* listener_;
 };
 
