--- /dev/null
+++ b/src/decide/control_messages.cpp
@@ -0,0 +1,126 @@
+// The control decisions on what other daemons send.
+
+#include "decide/control.h"
+
+namespace guavahaven::decide {
+
+namespace {
+
+constexpr duration repair_interval = std::chrono::milliseconds(900);
+
+} // namespace
+
+void control::take(const daemon_name& from, const announcements& m, time_point now)
+{
+    const merge_outcome outcome = membership_.merge(m.members_, now);
+    spread(outcome.news_, from);
+    if (!outcome.corrections_.empty())
+        send(from, announcements{outcome.corrections_});
+}
+
+void control::take(const daemon_name& from, const digest& m, time_point now)
+{
+    detector_.chosen_by(from, now);
+    const member* held = membership_.find(from);
+    if (held && held->state_ != member_state::alive && held->state_ != member_state::draining)
+        send(from, announcements{{*held}}); // to be refuted
+    settle(distribution_.heard_of(m.configuration_, m.configuration_hash_), from);
+    if (const auto update = distribution_.update_for(m.configuration_, m.configuration_hash_))
+        send(from, *update);
+    if (m.members_ != membership_.hash() && now - last_repair_ >= repair_interval) {
+        last_repair_ = now;
+        send(from, member_buckets{membership_.bucket_hashes()});
+    }
+    if (m.moves_ != moves_.hash())
+        send(from, move_facts{moves_.facts()});
+    if (m.orders_ != orders_.hash())
+        send(from, orders{orders_.orders()});
+    send(from, digest_received{});
+}
+
+void control::take(const daemon_name&, const digest_received&, time_point)
+{
+    readiness_.neighbour_answered();
+}
+
+void control::take(const daemon_name& from, const digests_end&, time_point now)
+{
+    detector_.no_longer_chosen_by(from, now);
+}
+
+void control::take(const daemon_name& from, const member_buckets& m, time_point)
+{
+    const std::vector<std::uint64_t> own = membership_.bucket_hashes();
+    members_wanted wanted;
+    for (std::uint32_t b = 0; b < own.size() && b < m.hashes_.size(); ++b)
+        if (m.hashes_[b] != own[b])
+            wanted.buckets_.push_back(b);
+    if (wanted.buckets_.empty())
+        return;
+    send(from, wanted);
+    send(from, announcements{membership_.members_in(wanted.buckets_)});
+}
+
+void control::take(const daemon_name& from, const members_wanted& m, time_point)
+{
+    send(from, announcements{membership_.members_in(m.buckets_)});
+}
+
+void control::take(const daemon_name& from, const probe& m, time_point now)
+{
+    spread(membership_.merge({m.held_}, now).news_, from);
+    send(from, probe_answer{self(), m.for_});
+}
+
+void control::take(const daemon_name& from, const probe_answer& m, time_point now)
+{
+    if (!m.for_.empty() && m.for_ != self().name_) {
+        send(m.for_, m);
+        return;
+    }
+    detector_.heard_from(m.self_.name_, now);
+    take(from, announcements{{m.self_}}, now);
+}
+
+void control::take(const daemon_name& from, const probe_wanted& m, time_point)
+{
+    send(m.held_.name_, probe{m.held_, from}, true);
+}
+
+void control::take(const daemon_name& from, const configuration_wanted& m, time_point)
+{
+    if (const auto update = distribution_.update_for(m.above_, m.hash_))
+        send(from, *update);
+}
+
+void control::take(const daemon_name& from, const configuration_whole& m, time_point)
+{
+    settle(distribution_.offer(m), from);
+}
+
+void control::take(const daemon_name& from, const configuration_delta& m, time_point)
+{
+    settle(distribution_.offer(m), from);
+}
+
+void control::take(const daemon_name& from, const move_facts& m, time_point)
+{
+    const std::vector<move_fact> news = moves_.merge(m.facts_);
+    // The judges may be gone before the platform can be written.
+    for (const move_fact& f : news)
+        if (watching_)
+            actions_.push_back(store_move{f});
+    spread(news, from);
+}
+
+void control::take(const daemon_name&, const evidence_report& m, time_point)
+{
+    moves_.merge(m.items_);
+}
+
+void control::take(const daemon_name& from, const orders& m, time_point)
+{
+    spread(orders_.merge(m.orders_), from);
+}
+
+} // namespace guavahaven::decide
--- a/src/decide/gate.h
+++ b/src/decide/gate.h
@@ -198,6 +198,8 @@
     std::uint32_t cold_rate() const;
     std::uint32_t cold_limit() const;
     bool serves(const version_name& version) const;
+    std::optional<held_call> take_unrun(run_id run);
+    void note_down(time_point now);
     // No further request reaches it before it announces itself again.
     void lose_backend(time_point now);
     // True while operators have taken this data centre out.
