--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -75,7 +75,7 @@
                       ask(to, m, fresh);
                   }),
           platform_(parts.make_platform_task_(
-              loop_, metrics_, settings_, seed_,
+              loop_, metrics_, {settings_.platform_, settings_.data_center_, seed_},
               [this](decide::control_event e) { mail_.post(to_control{std::move(e)}); })),
           operators_(loop_, {}, [this](const std::shared_ptr<http::exchange>& e) { serve_operator(*e); }),
           metrics_server_(loop_, {},
@@ -373,10 +373,9 @@
                         : operators::parsed_settings(std::vector<error>{failure(file)});
     };
     parts.backend_ = backend::own_protocol();
-    parts.make_platform_task_ = [](event_loop& loop, metrics& counts, const operators::daemon_settings& s,
-                                   std::uint64_t seed, std::function<void(decide::control_event)> tell) {
-        return std::make_unique<object_store::watcher>(
-            loop, counts, object_store::watcher_settings{s.platform_, s.data_center_, seed}, std::move(tell));
+    parts.make_platform_task_ = [](event_loop& loop, metrics& counts, const platform_task_settings& own,
+                                   std::function<void(decide::control_event)> tell) {
+        return std::make_unique<object_store::watcher>(loop, counts, own, std::move(tell));
     };
     return parts;
 }
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -23,8 +23,7 @@
 struct daemon_parts {
     decide::caller_protocol callers_;
     backend::protocol backend_;
-    std::function<std::unique_ptr<platform_task>(event_loop&, metrics&, const operators::daemon_settings&,
-                                                 std::uint64_t seed,
+    std::function<std::unique_ptr<platform_task>(event_loop&, metrics&, const platform_task_settings&,
                                                  std::function<void(decide::control_event)>)>
         make_platform_task_;
     // Reads the settings anew, at a reload.
--- a/src/daemon/platform_task.h
+++ b/src/daemon/platform_task.h
@@ -9,6 +9,14 @@
 
 namespace guavahaven {
 
+struct platform_task_settings {
+    http::address platform_;
+    data_center_name data_center_;
+    std::uint64_t seed_ = 0; // of the jitter
+
+    friend bool operator==(const platform_task_settings&, const platform_task_settings&) = default;
+};
+
 class platform_task {
 public:
     virtual ~platform_task() = default;
--- a/src/main/guavahaven.cpp
+++ b/src/main/guavahaven.cpp
@@ -180,18 +180,34 @@
         std::cout << c.sign_ << " " << c.text_ << "\n";
 }
 
-int diff(const arguments& args)
+// What a command that compares or writes rules is given.
+struct rules_for_platform {
+    decide::configuration rules_;
+    http::address platform_;
+};
+
+// The exit status if one of the two can't be had.
+std::variant<rules_for_platform, int> rules_and_platform(const arguments& args)
 {
-    const auto rules = load_rules(args, args.at("FILE").asString());
+    auto rules = load_rules(args, args.at("FILE").asString());
     if (!rules)
         return refused;
     const auto at = platform_of(args);
     if (!ok(at))
         return report(failure(at), wrong_usage);
-    const auto now = platform_session(value(at)).read();
+    return rules_for_platform{std::move(*rules), value(at)};
+}
+
+int diff(const arguments& args)
+{
+    const auto named = rules_and_platform(args);
+    if (const int* status = std::get_if<int>(&named))
+        return *status;
+    const auto& [rules, at] = std::get<rules_for_platform>(named);
+    const auto now = platform_session(at).read();
     if (!ok(now))
         return report(failure(now), unreachable);
-    const auto changes = operators::difference(value(now).record_.text_, rules->text_);
+    const auto changes = operators::difference(value(now).record_.text_, rules.text_);
     if (!as_json(args)) {
         print_changes(changes);
         return done;
@@ -307,13 +323,11 @@
 
 int apply(const arguments& args)
 {
-    const auto rules = load_rules(args, args.at("FILE").asString());
-    if (!rules)
-        return refused;
-    const auto at = platform_of(args);
-    if (!ok(at))
-        return report(failure(at), wrong_usage);
-    platform_session session(value(at));
+    const auto named = rules_and_platform(args);
+    if (const int* status = std::get_if<int>(&named))
+        return *status;
+    const auto& [rules, at] = std::get<rules_for_platform>(named);
+    platform_session session(at);
     const auto base = session.read_to_replace();
     if (!ok(base))
         return report(failure(base), unreachable);
@@ -326,15 +340,15 @@
         if (!ok(highest))
             return report(failure(highest), unreachable);
         above = value(highest);
-        warn_of_capacity(session.loop_, args, *rules);
+        warn_of_capacity(session.loop_, args, rules);
     }
     if (args.at("--base") &&
         static_cast<std::uint64_t>(args.at("--base").asLong()) != value(base).record_.number_.value()) {
-        print_race_lost(value(base), *rules);
+        print_race_lost(value(base), rules);
         return conflict;
     }
     const auto outcome = wait_for<operators::publish_outcome>(session.loop_, [&](auto h) {
-        session.publisher_.publish(value(base), above, author_of(args), rules->text_, runtime_clock().wall(),
+        session.publisher_.publish(value(base), above, author_of(args), rules.text_, runtime_clock().wall(),
                                    h);
     });
     if (!ok(outcome))
@@ -352,7 +366,7 @@
         std::cout << "accepted as configuration " << o.now_.record_.number_.value() << "\n";
         return done;
     }
-    print_race_lost(*o.winner_, *rules);
+    print_race_lost(*o.winner_, rules);
     return conflict;
 }
 
--- a/src/object_store/watcher.cpp
+++ b/src/object_store/watcher.cpp
@@ -24,7 +24,7 @@
 
 } // namespace
 
-watcher::watcher(event_loop& loop, metrics& counts, const watcher_settings& settings,
+watcher::watcher(event_loop& loop, metrics& counts, const platform_task_settings& settings,
                  std::function<void(decide::control_event)> tell)
     : metrics_(counts), tell_(std::move(tell)), random_(settings.seed_), store_(loop, settings.platform_),
       budget_(calls_per_second, calls_at_once),
--- a/src/object_store/watcher.h
+++ b/src/object_store/watcher.h
@@ -19,15 +19,9 @@
 
 namespace guavahaven::object_store {
 
-struct watcher_settings {
-    http::address platform_;
-    data_center_name data_center_;
-    std::uint64_t seed_ = 0; // of the jitter
-};
-
 class watcher final : public platform_task {
 public:
-    watcher(event_loop& loop, metrics& counts, const watcher_settings& settings,
+    watcher(event_loop& loop, metrics& counts, const platform_task_settings& settings,
             std::function<void(decide::control_event)> tell);
 
     // Reads seeds and configuration, again and again until it succeeds.
--- a/tests/decide/balancer_test.cpp
+++ b/tests/decide/balancer_test.cpp
@@ -25,6 +25,14 @@
         known_.members_.push_back(m);
         return m.name_;
     }
+    // Two gates in León, in the view.
+    std::pair<daemon_name, daemon_name> two_gates()
+    {
+        const daemon_name first = add(leon);
+        const daemon_name second = add(leon);
+        take_view();
+        return {first, second};
+    }
     void take_view() { balancer_.set_view(known_, now_); }
 
     std::optional<daemon_name> choose(const std::set<daemon_name>& tried = {})
@@ -101,9 +109,7 @@
 
 TEST_F(balancer_story, a_report_that_lags_loses_its_weight)
 {
-    const daemon_name a = add(leon);
-    const daemon_name b = add(leon);
-    take_view();
+    const auto [a, b] = two_gates();
 
     // Given a report that one gate is full
     balancer_.reported(a, {10, 20, 10}, now_);
@@ -117,9 +123,7 @@
 
 TEST_F(balancer_story, a_report_that_is_too_good_is_outweighed_by_own_calls)
 {
-    const daemon_name a = add(leon);
-    const daemon_name b = add(leon);
-    take_view();
+    const auto [a, b] = two_gates();
     for (int i = 0; i < 8; ++i)
         balancer_.began(a);
 
@@ -133,9 +137,7 @@
 
 TEST_F(balancer_story, a_refusal_outweighs_a_good_report)
 {
-    const daemon_name a = add(leon);
-    const daemon_name b = add(leon);
-    take_view();
+    const auto [a, b] = two_gates();
     end(a, attempt_end::refused);
     balancer_.reported(a, {0, 0, 10}, now_);
     EXPECT_EQ(look(100)[a], 0);
@@ -147,9 +149,7 @@
 
 TEST_F(balancer_story, a_slow_gate_gets_fewer_calls_until_it_is_tried_again)
 {
-    const daemon_name slow = add(leon);
-    const daemon_name quick = add(leon);
-    take_view();
+    const auto [slow, quick] = two_gates();
     for (int i = 0; i < 20; ++i) {
         end(slow, attempt_end::answered, std::chrono::milliseconds(200));
         end(quick, attempt_end::answered, std::chrono::milliseconds(2));
@@ -224,9 +224,7 @@
 TEST_F(balancer_story, a_newly_seen_gate_starts_with_a_part)
 {
     // Given two busy gates
-    const daemon_name old_1 = add(leon);
-    const daemon_name old_2 = add(leon);
-    take_view();
+    const auto [old_1, old_2] = two_gates();
     begin(10);
 
     // When a third appears, idle
--- a/tests/integration/at_most_once_test.cpp
+++ b/tests/integration/at_most_once_test.cpp
@@ -6,16 +6,12 @@
 #include <thread>
 
 #include "support/once_load.h"
+#include "support/rules_text.h"
 
 namespace guavahaven {
 
 namespace {
 
-constexpr const char* rules = R"(
-class   confirm deadline 2s once   # supervisors
-service desk    version v1         # supervisors
-route POST /placements/* to desk as confirm # supervisors
-)";
 constexpr std::chrono::milliseconds fault_lasts{250};
 
 support::mesh_plan four_nodes()
@@ -53,7 +49,7 @@
 TEST(non_idempotent_request_runs_at_most_once, while_connections_are_silent_and_answers_lost)
 {
     support::mesh mesh(four_nodes());
-    ASSERT_EQ(mesh.apply(rules).status_, 0);
+    ASSERT_EQ(mesh.apply(support::confirmation_rules()).status_, 0);
     ASSERT_TRUE(mesh.wait_ready(1));
 
     const support::once_counts counts = counts_under(mesh, [&] {
@@ -70,7 +66,7 @@
 TEST(non_idempotent_request_runs_at_most_once, while_daemons_and_backend_servers_die)
 {
     support::mesh mesh(four_nodes());
-    ASSERT_EQ(mesh.apply(rules).status_, 0);
+    ASSERT_EQ(mesh.apply(support::confirmation_rules()).status_, 0);
     ASSERT_TRUE(mesh.wait_ready(1));
 
     const support::once_counts counts = counts_under(mesh, [&] {
@@ -93,7 +89,7 @@
     for (support::node_plan& n : plan.nodes_)
         n.backend_options_ = {"--work-ms=300"};
     support::mesh mesh(plan);
-    ASSERT_EQ(mesh.apply(rules).status_, 0);
+    ASSERT_EQ(mesh.apply(support::confirmation_rules()).status_, 0);
     ASSERT_TRUE(mesh.wait_ready(1));
 
     // Given requests under way through two entries, at all gates
--- a/tests/integration/cold_backend_server_test.cpp
+++ b/tests/integration/cold_backend_server_test.cpp
@@ -5,17 +5,12 @@
 #include <algorithm>
 
 #include "support/mesh.h"
+#include "support/rules_text.h"
 
 namespace guavahaven {
 
 namespace {
 
-constexpr const char* rules = R"(
-class   lookup  deadline 2s     # office
-service board   version v1      # office
-route GET /shifts/* to board as lookup # office
-)";
-
 std::size_t count(const support::mesh& mesh, const std::string& event)
 {
     const auto all = mesh.journal();
@@ -35,7 +30,7 @@
 {
     const std::vector<std::string> cold{"--work-ms=5", "--cold-slots=3", "--cold-ms=3000"};
     support::mesh mesh({{{"leon", "board", "v1", cold}}, false});
-    ASSERT_EQ(mesh.apply(rules).status_, 0);
+    ASSERT_EQ(mesh.apply(support::lookup_rules("2s")).status_, 0);
     ASSERT_TRUE(mesh.wait_ready(1));
 
     // When many callers come at once to a cold backend server
@@ -60,7 +55,7 @@
 {
     const std::vector<std::string> cold{"--work-ms=5", "--cold-slots=3", "--cold-ms=2000", "--slots=12"};
     support::mesh mesh({{{"leon", "board", "v1", cold}}, false});
-    ASSERT_EQ(mesh.apply(rules).status_, 0);
+    ASSERT_EQ(mesh.apply(support::lookup_rules("2s")).status_, 0);
     ASSERT_TRUE(mesh.wait_ready(1));
 
     // Given one that is warm and busy
--- a/tests/integration/crash_test.cpp
+++ b/tests/integration/crash_test.cpp
@@ -7,17 +7,12 @@
 
 #include "decide/suspects.h"
 #include "support/mesh.h"
+#include "support/rules_text.h"
 
 namespace guavahaven {
 
 namespace {
 
-constexpr const char* rules = R"(
-class   confirm deadline 2s once   # supervisors
-service desk    version v1         # supervisors
-route POST /placements/* to desk as confirm # supervisors
-)";
-
 } // namespace
 
 TEST(crash_causing_request_is_contained, by_all_gates_of_its_service)
@@ -26,7 +21,7 @@
                          {"leon", "desk", "v1", {}},
                          {"celaya", "desk", "v1", {}},
                          {"celaya", "desk", "v1", {}}}});
-    ASSERT_EQ(mesh.apply(rules).status_, 0);
+    ASSERT_EQ(mesh.apply(support::confirmation_rules()).status_, 0);
     ASSERT_TRUE(mesh.wait_ready(1));
     for (const support::node& n : mesh.nodes())
         n.set_backend("crash_path=/placements/bad");
--- a/tests/integration/hostile_callers_test.cpp
+++ b/tests/integration/hostile_callers_test.cpp
@@ -5,23 +5,19 @@
 
 #include "support/mesh.h"
 #include "support/raw_connection.h"
+#include "support/rules_text.h"
 
 namespace guavahaven {
 
 namespace {
 
-constexpr const char* rules = R"(
-class   lookup  deadline 20s         # office
-service board   version v1           # office
-route GET  /shifts/*   to board as lookup  # office
-)";
 constexpr const char* good_request = "GET /shifts/today HTTP/1.1\r\nHost: leon\r\n\r\n";
 
 class hostile_callers : public testing::Test {
 protected:
     void SetUp() override
     {
-        const support::finished applied = mesh_.apply(rules);
+        const support::finished applied = mesh_.apply(support::lookup_rules("20s"));
         ASSERT_EQ(applied.status_, 0) << applied.output_;
         ASSERT_TRUE(mesh_.wait_ready(1));
     }
--- a/tests/integration/whole_answers_test.cpp
+++ b/tests/integration/whole_answers_test.cpp
@@ -6,17 +6,12 @@
 
 #include "support/mesh.h"
 #include "support/raw_connection.h"
+#include "support/rules_text.h"
 
 namespace guavahaven {
 
 namespace {
 
-constexpr const char* rules = R"(
-class   lookup  deadline 60s         # office
-service board   version v1           # office
-route GET  /shifts/*   to board as lookup  # office
-)";
-
 constexpr std::size_t megabyte = 1024 * 1024;
 
 // The backend server stand-in repeats the target up to about this size.
@@ -33,7 +28,7 @@
 protected:
     void SetUp() override
     {
-        const support::finished applied = mesh_.apply(rules);
+        const support::finished applied = mesh_.apply(support::lookup_rules("60s"));
         ASSERT_EQ(applied.status_, 0) << applied.output_;
         ASSERT_TRUE(mesh_.wait_ready(1));
     }
--- a/tests/prove/configurations.cpp
+++ b/tests/prove/configurations.cpp
@@ -122,36 +122,34 @@
 
 outcome never_reverts(const setup& s)
 {
-    outcome o;
-    support::mesh mesh(two_data_centers(s));
-    if (!establish(mesh, numbered_rules(1), 1, o))
-        return o;
-    number_watch watch(mesh);
-    random_engine random(s.seed_);
-    for (std::uint64_t number = 2; number <= 4; ++number) {
-        const std::vector<placed_fault> pair =
-            draw_pair(random, {fault_kind::freeze, fault_kind::cut, fault_kind::silence, fault_kind::delay},
-                      mesh.nodes().size());
-        for (const placed_fault& f : pair)
-            begin(mesh, f);
-        if (mesh.apply(numbered_rules(number)).status_ != 0)
-            o.broken_.emplace_back("rules not accepted");
-        for (const placed_fault& f : pair)
-            heal(mesh, f);
-        o.survived_.push_back(to_string(pair));
-        if (!mesh.wait_configuration(number)) {
-            o.broken_.push_back("configuration " + std::to_string(number) + " is not in force everywhere");
-            break;
+    return in_two_data_centers(s, numbered_rules(1), [&](support::mesh& mesh, outcome& o) {
+        number_watch watch(mesh);
+        random_engine random(s.seed_);
+        for (std::uint64_t number = 2; number <= 4; ++number) {
+            const std::vector<placed_fault> pair = draw_pair(
+                random, {fault_kind::freeze, fault_kind::cut, fault_kind::silence, fault_kind::delay},
+                mesh.nodes().size());
+            for (const placed_fault& f : pair)
+                begin(mesh, f);
+            if (mesh.apply(numbered_rules(number)).status_ != 0)
+                o.broken_.emplace_back("rules not accepted");
+            for (const placed_fault& f : pair)
+                heal(mesh, f);
+            o.survived_.push_back(to_string(pair));
+            if (!mesh.wait_configuration(number)) {
+                o.broken_.push_back("configuration " + std::to_string(number) +
+                                    " is not in force everywhere");
+                break;
+            }
         }
-    }
-    // The platform is put back to an older state, and tells everyone of it.
-    put_record(mesh, 3, numbered_rules(3));
-    std::this_thread::sleep_for(std::chrono::seconds(1));
-    if (!mesh.wait_configuration(4))
-        o.broken_.emplace_back("a daemon went back with the platform");
-    o.survived_.emplace_back("platform put back");
-    add_broken(o, watch.stop(), "times a daemon went back to an older configuration");
-    return o;
+        // The platform is put back to an older state, and tells everyone of it.
+        put_record(mesh, 3, numbered_rules(3));
+        std::this_thread::sleep_for(std::chrono::seconds(1));
+        if (!mesh.wait_configuration(4))
+            o.broken_.emplace_back("a daemon went back with the platform");
+        o.survived_.emplace_back("platform put back");
+        add_broken(o, watch.stop(), "times a daemon went back to an older configuration");
+    });
 }
 
 outcome accepted_reaches_all(const setup& s)
--- a/tests/prove/story.cpp
+++ b/tests/prove/story.cpp
@@ -25,6 +25,16 @@
     return plan;
 }
 
+outcome in_two_data_centers(const setup& s, const std::string& rules,
+                            const std::function<void(support::mesh&, outcome&)>& story)
+{
+    outcome o;
+    support::mesh mesh(two_data_centers(s));
+    if (establish(mesh, rules, 1, o))
+        story(mesh, o);
+    return o;
+}
+
 bool establish(support::mesh& mesh, const std::string& rules, std::uint64_t number, outcome& o)
 {
     const support::finished applied = mesh.apply(rules, "proof");
--- a/tests/prove/story.h
+++ b/tests/prove/story.h
@@ -3,6 +3,7 @@
 // What the proofs have in common: the deployment, callers under faults, and
 // the reading of the journals.
 
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -44,6 +45,10 @@
 route GET  /placements/* to desk  as lookup     # proof
 )";
 
+// Plays a story in two data centres in which the rules are in force.
+outcome in_two_data_centers(const setup& s, const std::string& rules,
+                            const std::function<void(support::mesh&, outcome&)>& story);
+
 // Applies rules and waits until all daemons have them and each other; false,
 // with the reason in the outcome, if that fails.
 bool establish(support::mesh& mesh, const std::string& rules, std::uint64_t number, outcome& o);
--- a/tests/support/load.cpp
+++ b/tests/support/load.cpp
@@ -3,24 +3,18 @@
 #include <algorithm>
 #include <charconv>
 
+#include "decide/caller_protocol.h"
+
 namespace guavahaven::support {
 
 namespace {
 
-code result_of(const http::response& r)
-{
-    const std::string text = http::find_header(r.headers_, "Guavahaven-Result");
-    int number = static_cast<int>(code::outcome_unknown);
-    std::from_chars(text.data(), text.data() + text.size(), number);
-    return static_cast<code>(number);
-}
-
 sent_request record(sent_request s, const result<http::response>& outcome)
 {
     if (!ok(outcome))
         return s;
     s.status_ = value(outcome).status_;
-    s.result_ = result_of(value(outcome));
+    s.result_ = told_result(value(outcome), code::outcome_unknown);
     s.body_ = value(outcome).body_;
     s.echo_ = http::find_header(value(outcome).headers_, "Ran-Target");
     return s;
@@ -28,6 +22,14 @@
 
 } // namespace
 
+code told_result(const http::response& r, code otherwise)
+{
+    const std::string text = http::find_header(r.headers_, decide::caller_protocol().result_header_);
+    int number = 0;
+    const auto [stop, failed] = std::from_chars(text.data(), text.data() + text.size(), number);
+    return failed == std::errc() ? static_cast<code>(number) : otherwise;
+}
+
 load::load(load_plan plan) : plan_(std::move(plan)), thread_([this] { run(); }) {}
 
 load::~load()
--- a/tests/support/load.h
+++ b/tests/support/load.h
@@ -67,6 +67,9 @@
     std::thread thread_;
 };
 
+// The result code that a daemon told; another if it told none.
+code told_result(const http::response& r, code otherwise);
+
 // True for results that promise that the request has not run.
 bool says_not_run(const sent_request& s);
 
--- a/tests/support/paced_load.cpp
+++ b/tests/support/paced_load.cpp
@@ -1,8 +1,7 @@
 #include "support/paced_load.h"
 
-#include <charconv>
-
 #include "decide/entry.h"
+#include "support/load.h"
 
 namespace guavahaven::support {
 
@@ -11,14 +10,6 @@
 constexpr std::size_t connections_most = 64; // to one entry
 constexpr duration answer_timeout = std::chrono::seconds(10);
 
-code result_of(const http::response& r)
-{
-    const std::string text = http::find_header(r.headers_, decide::caller_protocol().result_header_);
-    int number = 0;
-    const auto [stop, failed] = std::from_chars(text.data(), text.data() + text.size(), number);
-    return failed == std::errc() ? static_cast<code>(number) : code::backend_failed;
-}
-
 } // namespace
 
 paced_load::paced_load(paced_plan plan) : plan_(std::move(plan)), thread_([this] { run(); }) {}
@@ -63,7 +54,7 @@
                                  o.took_ = clock.now() - sent_at;
                                  if (ok(r)) {
                                      o.status_ = value(r).status_;
-                                     o.result_ = result_of(value(r));
+                                     o.result_ = told_result(value(r), code::backend_failed);
                                  }
                                  ++ended;
                              });
