--- a/src/main/guavahaven.cpp
+++ b/src/main/guavahaven.cpp
@@ -203,7 +203,8 @@
     const auto named = rules_and_platform(args);
     if (const int* status = std::get_if<int>(&named))
         return *status;
-    const auto& [rules, at] = std::get<rules_for_platform>(named);
+    const decide::configuration& rules = std::get<rules_for_platform>(named).rules_;
+    const http::address& at = std::get<rules_for_platform>(named).platform_;
     const auto now = platform_session(at).read();
     if (!ok(now))
         return report(failure(now), unreachable);
@@ -326,7 +327,8 @@
     const auto named = rules_and_platform(args);
     if (const int* status = std::get_if<int>(&named))
         return *status;
-    const auto& [rules, at] = std::get<rules_for_platform>(named);
+    const decide::configuration& rules = std::get<rules_for_platform>(named).rules_;
+    const http::address& at = std::get<rules_for_platform>(named).platform_;
     platform_session session(at);
     const auto base = session.read_to_replace();
     if (!ok(base))
