--- a/src/base/log.h
+++ b/src/base/log.h
@@ -1,13 +1,14 @@
 #pragma once
 
-// Structured log lines through log4cxx. Counters carry what happens often;
-// a line is written only when some state changes.
+// Structured log lines through log4cxx: one for each change of what the process
+// believes and for each request that failed. Counters carry what happens often.
 
 #include <string>
 
 namespace guavahaven {
 
-// Writes to standard output, never waiting for its reader, each line with UTC time, level and source.
+// Writes to standard output, each line with UTC time, level and source. Never
+// waits for its reader: a line that the pipe doesn't take is left out and counted.
 // level is one of error, warn, info, debug.
 void start_logging(const std::string& level);
 
--- a/src/decide/gate.h
+++ b/src/decide/gate.h
@@ -196,9 +196,13 @@
     bool has_room(time_point now) const;
     // Requests a second that it bears while cold.
     std::uint32_t cold_rate() const;
+    // Runs at once that this rate comes to.
     std::uint32_t cold_limit() const;
+    // True if calls for this version, or for any, may run on the backend server's.
     bool serves(const version_name& version) const;
+    // Ends a run that was none; empty if it has ended already.
     std::optional<held_call> take_unrun(run_id run);
+    // The same as lose_backend(), and other daemons are told.
     void note_down(time_point now);
     // No further request reaches it before it announces itself again.
     void lose_backend(time_point now);
