--- a/Makefile
+++ b/Makefile
@@ -3,9 +3,11 @@
 JOBS ?= 10
 CTEST_JOBS ?= 4
 SEEDS ?= 5
+DAY ?= quiet-1
+WHY ?= a day by make bench-day
 SOURCES = $(shell git ls-files 'src/*.h' 'src/*.cpp' 'platform/*.h' 'platform/*.cpp' 'tests/*.h' 'tests/*.cpp')
 
-.PHONY: help deps build build-debug demo prove prove-fails test test-debug format format-check lint bench signature clean
+.PHONY: help deps build build-debug demo prove prove-fails test test-debug bench-day format format-check lint bench signature clean
 
 help: ## Show this list
 	@sed -n 's/^\([a-z-]*\):.*## /\1\t/p' Makefile | expand -t 16
@@ -46,6 +48,11 @@
 lint: build ## Run the linter over all sources
 	@scripts/lint $(JOBS)
 
+bench-day: ## Play a day on the users' bench: make bench-day FLEETBENCH=PATH SITE=FILE [DAY=quiet-1]
+	@[ -x "$(FLEETBENCH)" ] || { echo "bench-day: FLEETBENCH must be the path of the users' bench, which is not part of this repository"; exit 1; }
+	@[ -f "$(SITE)" ] || { echo "bench-day: SITE must be a site file of the users' bench"; exit 1; }
+	@"$(FLEETBENCH)" run "$(SITE)" $(DAY) --why "$(WHY)"
+
 bench: build ## Run the latency experiment
 	@build/release/guavahaven-bench latency
 
