A stopping daemon serves its backend server for the whole notice

Cause: on SIGTERM the gate refused work at once and the daemon was announced as gone, though the process and its backend server went on for the 2.6 s in which callers are told to go elsewhere. Change: the gate refuses, and the daemon leaves the mesh, 0.3 s before the end of the notice. Test: entry_lifecycle.a_stopping_daemon_serves_its_backend_server_during_the_notice, failed before with E410.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -80,7 +80,8 @@
           operators_(loop_, {}, [this](const std::shared_ptr<http::exchange>& e) { serve_operator(*e); }),
           metrics_server_(loop_, {},
                           [this](const std::shared_ptr<http::exchange>& e) { serve_operator(*e); }),
-          control_timer_(loop_, [this] { tick(); }), stop_timer_(loop_, [this] { finish_stop(); })
+          control_timer_(loop_, [this] { tick(); }), leave_timer_(loop_, [this] { leave(); }),
+          stop_timer_(loop_, [this] { finish_stop(); })
     {
     }
 
@@ -313,7 +314,8 @@
         log_info("daemon", "reloaded", fresh == settings_ ? "" : "needs_restart=yes");
     }
 
-    // New work stops, work in flight ends, then the process does.
+    // Callers are told to go elsewhere. The backend server beside this daemon
+    // stays, and has no other door: it is served for as long as the notice lasts.
     void begin_stop()
     {
         if (stop_began_)
@@ -321,9 +323,16 @@
         stop_began_ = clock_.now();
         log_info("daemon", "stopping");
         caller_.say_last();
+        leave_timer_.arm(std::max(duration::zero(), settings_.stop_notice_ - leave_notice));
+    }
+
+    // New work stops, work in flight ends, then the process does.
+    void leave()
+    {
+        log_info("daemon", "leaving");
         backend_.handle(decide::stop_requested{});
         apply(control_.handle(decide::leave_requested{}, clock_.now()));
-        stop_timer_.arm(std::max(leave_notice, settings_.stop_notice_));
+        stop_timer_.arm(leave_notice);
     }
 
     void finish_stop()
@@ -352,6 +361,7 @@
     http::server operators_;
     http::server metrics_server_;
     timer control_timer_;
+    timer leave_timer_;
     timer stop_timer_;
     decide::configuration_ptr in_force_;
     std::set<service_name> moving_;
--- a/tests/integration/entry_lifecycle_test.cpp
+++ b/tests/integration/entry_lifecycle_test.cpp
@@ -67,6 +67,31 @@
     EXPECT_GT(caller.received().size(), 3'000'000U);
 }
 
+TEST(entry_lifecycle, a_stopping_daemon_serves_its_backend_server_during_the_notice)
+{
+    support::mesh_plan plan{{{"leon", "other", "v1", {}}, {"leon", "board", "v1", {}}}, false};
+    plan.more_settings_ = "[daemon]\nstop_notice_ms = 3000\n";
+    support::mesh mesh(plan);
+    ASSERT_EQ(mesh.apply(rules).status_, 0);
+    ASSERT_TRUE(mesh.wait_ready(1));
+
+    // Given the only gate of a service, told to stop
+    int stopped = -1;
+    std::thread stopper([&] { stopped = mesh.at(1).daemon_->stop(); });
+    const auto notices = [&] {
+        const auto ready = support::fetch(mesh.at(1).operators(), {"GET", "/readyz", {}, ""});
+        return ok(ready) && value(ready).status_ == 503;
+    };
+    EXPECT_TRUE(support::wait_until(notices));
+
+    // When requests come in the notice that callers get, then they run there
+    const auto r = support::fetch(mesh.at(0).callers(), {"GET", "/shifts/a", {}, ""});
+    ASSERT_TRUE(ok(r));
+    EXPECT_EQ(value(r).status_, 200) << value(r).body_;
+    stopper.join();
+    EXPECT_EQ(stopped, 0);
+}
+
 TEST(entry_lifecycle, a_caller_that_goes_away_cancels_its_request)
 {
     support::mesh mesh({{{"leon", "other", "v1", {}}, {"leon", "board", "v1", {}}}, false});
