--- a/src/object_store/seed_keeper.cpp
+++ b/src/object_store/seed_keeper.cpp
@@ -14,15 +14,17 @@
 } // namespace
 
 seed_keeper::seed_keeper(event_loop& loop, store& objects, call_budget& budget, data_center_name own,
-                         std::uint64_t seed, std::function<void(decide::control_event)> tell)
-    : store_(objects), budget_(budget), own_(std::move(own)), random_(seed), tell_(std::move(tell)),
-      refresh_(loop, [this] { refresh(); })
+                         std::uint64_t seed, duration first_spread,
+                         std::function<void(decide::control_event)> tell)
+    : store_(objects), budget_(budget), own_(std::move(own)), random_(seed), first_spread_(first_spread),
+      tell_(std::move(tell)), refresh_(loop, [this] { refresh(); })
 {
 }
 
-void seed_keeper::read_object(std::function<void(result<object>, std::vector<decide::seed>)> handler)
+void seed_keeper::read_object(freshness wanted,
+                              std::function<void(result<object>, std::vector<decide::seed>)> handler)
 {
-    store_.get(seeds_kind, current_name, [this, handler = std::move(handler)](const result<object>& found) {
+    const auto take = [this, handler = std::move(handler)](const result<object>& found) {
         std::vector<decide::seed> kept;
         if (ok(found))
             if (const auto read = to_seeds(value(found).bytes_); ok(read))
@@ -34,24 +36,27 @@
         if (!names.empty())
             tell_(decide::seeds_known{names});
         handler(found, kept);
-    });
+    };
+    store_.get(seeds_kind, current_name, take, wanted);
 }
 
 void seed_keeper::read(std::function<void(result<std::size_t>)> handler)
 {
-    read_object(
-        [handler = std::move(handler)](const result<object>& found, const std::vector<decide::seed>& kept) {
-            if (!ok(found) && failure(found).code_ != code::platform_not_found)
-                return handler(failure(found));
-            handler(kept.size());
-        });
+    const auto take = [handler = std::move(handler)](const result<object>& found,
+                                                     const std::vector<decide::seed>& kept) {
+        if (!ok(found) && failure(found).code_ != code::platform_not_found)
+            return handler(failure(found));
+        handler(kept.size());
+    };
+    read_object(freshness::may_be_old, take);
 }
 
 void seed_keeper::keep(std::vector<daemon_name> candidates)
 {
     candidates_ = std::move(candidates);
     tries_left_ = refresh_tries;
-    const double spread = static_cast<double>(refresh_spread.count()) * random_share(random_);
+    const duration most = told_.empty() ? first_spread_ : refresh_spread;
+    const double spread = static_cast<double>(most.count()) * random_share(random_);
     refresh_.arm(duration(static_cast<duration::rep>(spread)));
 }
 
@@ -59,7 +64,7 @@
 {
     if (tries_left_-- <= 0 || !budget_.take(clock_.now()))
         return; // the next check comes soon enough
-    read_object([this](const result<object>& found, const std::vector<decide::seed>& kept) {
+    const auto renew = [this](const result<object>& found, const std::vector<decide::seed>& kept) {
         if (!ok(found) && failure(found).code_ != code::platform_not_found)
             return;
         const std::vector<decide::seed> wanted =
@@ -77,7 +82,8 @@
                        if (!ok(written))
                            refresh_.arm(refresh_spread);
                    });
-    });
+    };
+    read_object(freshness::latest, renew);
 }
 
 } // namespace guavahaven::object_store
--- a/src/object_store/seed_keeper.h
+++ b/src/object_store/seed_keeper.h
@@ -16,8 +16,11 @@
 
 class seed_keeper {
 public:
+    // first_spread is the longest that a daemon which knows no seeds waits before
+    // it looks again and writes some: of a fleet that starts at once, most then
+    // find what the first ones wrote.
     seed_keeper(event_loop& loop, store& objects, call_budget& budget, data_center_name own,
-                std::uint64_t seed, std::function<void(decide::control_event)> tell);
+                std::uint64_t seed, duration first_spread, std::function<void(decide::control_event)> tell);
 
     // The handler gets the number of seeds, or the error.
     void read(std::function<void(result<std::size_t>)> handler);
@@ -25,7 +28,8 @@
     void keep(std::vector<daemon_name> candidates);
 
 private:
-    void read_object(std::function<void(result<object>, std::vector<decide::seed>)> handler);
+    void read_object(freshness wanted,
+                     std::function<void(result<object>, std::vector<decide::seed>)> handler);
     void refresh();
 
     store& store_;
@@ -33,6 +37,7 @@
     runtime_clock clock_;
     data_center_name own_;
     random_engine random_;
+    duration first_spread_;
     std::function<void(decide::control_event)> tell_;
     timer refresh_;
     int tries_left_ = 0;
--- a/src/object_store/store.cpp
+++ b/src/object_store/store.cpp
@@ -69,7 +69,7 @@
 dialect own_dialect()
 {
     dialect d;
-    d.get_ = [](const std::string& kind, const std::string& name) {
+    d.get_ = [](const std::string& kind, const std::string& name, freshness) {
         return http::request{"GET", target(kind, name), {}, ""};
     };
     d.put_ = [](const std::string& kind, const std::string& name, const std::string& bytes,
@@ -91,16 +91,17 @@
 {
 }
 
-void store::get(const std::string& kind, const std::string& name, std::function<void(result<object>)> handler)
+void store::get(const std::string& kind, const std::string& name, std::function<void(result<object>)> handler,
+                freshness wanted)
 {
-    call(dialect_.get_(kind, name), decoded(dialect_, std::move(handler)));
+    call(dialect_.get_(kind, name, wanted), decoded(dialect_, std::move(handler)));
 }
 
 void store::watch(const std::string& kind, const std::string& name, std::uint64_t above, duration wait,
                   std::function<void(result<object>)> handler)
 {
     const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(wait);
-    http::request r = dialect_.get_(kind, name);
+    http::request r = dialect_.get_(kind, name, freshness::latest);
     r.target_ += "?after=" + std::to_string(above) + "&wait=" + std::to_string(milliseconds.count());
     call_waiting(std::move(r), wait, decoded(dialect_, std::move(handler)));
 }
--- a/src/object_store/store.h
+++ b/src/object_store/store.h
@@ -24,9 +24,15 @@
     friend bool operator==(const object&, const object&) = default;
 };
 
+// What a read may return.
+enum class freshness : std::uint8_t {
+    latest,
+    may_be_old, // by seconds, where the platform offers that for less
+};
+
 // How calls and their responses look on the wire.
 struct dialect {
-    std::function<http::request(const std::string& kind, const std::string& name)> get_;
+    std::function<http::request(const std::string& kind, const std::string& name, freshness wanted)> get_;
     // For an object whose version is still 'expected' (0: that must not exist).
     std::function<http::request(const std::string& kind, const std::string& name, const std::string& bytes,
                                 std::uint64_t expected)>
@@ -43,7 +49,8 @@
 public:
     store(event_loop& loop, http::address platform, dialect d = own_dialect());
 
-    void get(const std::string& kind, const std::string& name, std::function<void(result<object>)> handler);
+    void get(const std::string& kind, const std::string& name, std::function<void(result<object>)> handler,
+             freshness wanted = freshness::latest);
 
     // Answers once the object's version is above one; platform_not_found if
     // none came within the wait.
--- a/src/object_store/watcher.cpp
+++ b/src/object_store/watcher.cpp
@@ -10,6 +10,7 @@
 constexpr duration watch_wait = std::chrono::seconds(10);
 constexpr duration retry_first = std::chrono::milliseconds(500);
 constexpr duration retry_most = std::chrono::seconds(15);
+constexpr duration first_seeds_spread = std::chrono::milliseconds(300);
 constexpr duration start_spread = std::chrono::milliseconds(100);
 // The first reads of a fleet that returns at once are spread by its size, of
 // which the number of seeds tells.
@@ -28,7 +29,7 @@
                  std::function<void(decide::control_event)> tell)
     : metrics_(counts), tell_(std::move(tell)), random_(settings.seed_), store_(loop, settings.platform_),
       budget_(calls_per_second, calls_at_once),
-      seeds_(loop, store_, budget_, settings.data_center_, settings.seed_, tell_),
+      seeds_(loop, store_, budget_, settings.data_center_, settings.seed_, first_seeds_spread, tell_),
       moves_(loop, store_, budget_, settings.seed_, tell_), backoff_(retry_first, retry_most),
       start_(loop, [this] { read_first(); }), read_(loop, [this] { read_configuration(); }),
       retry_(loop, [this] { retry(); })
--- /dev/null
+++ b/tests/platform/watcher_test.cpp
@@ -0,0 +1,219 @@
+// The adapter's task at the users' store: what it reads, how often, and what it
+// makes of faults there.
+
+#include "watcher.h"
+
+#include <gtest/gtest.h>
+
+#include "support/users_store.h"
+
+namespace guavahaven::platform {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr duration long_enough = std::chrono::seconds(20);
+constexpr duration poll = std::chrono::milliseconds(10);
+constexpr duration least_pause = std::chrono::milliseconds(100); // between two watches of the configuration
+
+json configuration(int number)
+{
+    return {
+        {"version", "r" + std::to_string(number)},
+        {"routes", json::object()},
+        {"services", json::object()},
+        {"limits",
+         {{"maxHeaderBytes", 8192}, {"maxBodyBytes", 65536}, {"headerTimeoutS", 5}, {"idleTimeoutS", 10}}}};
+}
+
+class following : public testing::Test {
+protected:
+    following()
+        : store_(loop_), watcher_(loop_, metrics_, {store_.address(), data_center_name("leon"), 7}, {},
+                                  [this](const decide::control_event& e) { told_.push_back(e); })
+    {
+    }
+
+    // Runs the loop until a condition holds; false if it did not in time.
+    template <class Condition>
+    bool run_until(const Condition& holds)
+    {
+        const time_point until = clock_.now() + long_enough;
+        while (!holds() && clock_.now() < until) {
+            timer pause(loop_, [this] { loop_.stop(); });
+            pause.arm(poll);
+            loop_.run();
+        }
+        return holds();
+    }
+    void run_for(duration time)
+    {
+        const time_point until = clock_.now() + time;
+        run_until([&] { return clock_.now() >= until; });
+    }
+
+    template <class Event>
+    std::vector<Event> told() const
+    {
+        std::vector<Event> found;
+        for (const decide::control_event& e : told_)
+            if (const auto* one = std::get_if<Event>(&e))
+                found.push_back(*one);
+        return found;
+    }
+    // The number of the last configuration that was told of; 0 if none was.
+    std::uint64_t last_number() const
+    {
+        const auto all = told<decide::platform_configuration>();
+        return all.empty() ? 0 : all.back().record_.number_.value();
+    }
+    // Starts as one of the daemons that watch, up to its first waiting watch.
+    bool start_watching()
+    {
+        store_.put("config", "main", configuration(1));
+        watcher_.start();
+        watcher_.watch(true);
+        return run_until([&] { return store_.count("GET /objects/rollouts?watch") > 0; });
+    }
+
+    event_loop loop_;
+    runtime_clock clock_;
+    metrics metrics_;
+    support::users_store store_;
+    std::vector<decide::control_event> told_;
+    watcher watcher_;
+};
+
+} // namespace
+
+TEST_F(following, by_a_daemon_that_leaves_the_watching_to_others_costs_two_reads)
+{
+    store_.put("config", "main", configuration(4));
+    // When a daemon starts that is not one of those that watch
+    watcher_.start();
+    ASSERT_TRUE(run_until([&] { return last_number() == 4; }));
+    // Then it has read the seeds, at the lower price, and the configuration
+    EXPECT_EQ(store_.calls().size(), 2U);
+    EXPECT_EQ(store_.count("GET /objects/guavahaven-seeds/current?staleOk"), 1U);
+    EXPECT_EQ(store_.count("GET /objects/config"), 1U);
+    // And says that it was answered
+    ASSERT_FALSE(told<decide::platform_asked>().empty());
+    EXPECT_TRUE(told<decide::platform_asked>().back().answered_);
+}
+
+TEST_F(following, begins_once_the_mesh_had_time_to_say_who_watches)
+{
+    store_.put("config", "main", configuration(1));
+    // Given a fleet that starts at once, with no seeds kept: each daemon takes itself for a watcher
+    watcher_.start();
+    watcher_.watch(true);
+    ASSERT_TRUE(run_until([&] { return last_number() == 1; }));
+    // When it learns of the others, then it has cost no watch
+    watcher_.watch(false);
+    run_for(std::chrono::seconds(3));
+    EXPECT_EQ(store_.calls().size(), 2U);
+}
+
+TEST_F(following, a_storm_of_configurations_costs_few_calls_and_ends_at_the_last)
+{
+    ASSERT_TRUE(start_watching());
+    store_.forget_calls();
+    // When configurations follow each other
+    const time_point began = clock_.now();
+    constexpr int last = 40;
+    for (int number = 2; number <= last; ++number) {
+        store_.put("config", "main", configuration(number));
+        run_for(poll);
+    }
+    ASSERT_TRUE(run_until([&] { return last_number() == last; }));
+    // Then the calls follow the time, not the changes
+    const auto pauses = static_cast<std::size_t>((clock_.now() - began) / least_pause);
+    EXPECT_LE(store_.count("GET /objects/config?watch"), pauses + 1);
+}
+
+TEST_F(following, goes_on_from_the_whole_after_history_was_lost)
+{
+    ASSERT_TRUE(start_watching());
+    ASSERT_TRUE(run_until([&] { return store_.count("GET /objects/config?watch") > 0; }));
+    // When the store drops its history, and with it a change
+    store_.forget_history();
+    store_.put("config", "main", configuration(9));
+    // Then the change is known all the same
+    EXPECT_TRUE(run_until([&] { return last_number() == 9; }));
+}
+
+TEST_F(following, survives_an_outage_and_says_so)
+{
+    ASSERT_TRUE(start_watching());
+    // When the store refuses everything, and a change comes meanwhile
+    store_.faults_.down_ = true;
+    store_.forget_history();
+    ASSERT_TRUE(run_until([&] {
+        const auto asked = told<decide::platform_asked>();
+        return !asked.empty() && !asked.back().answered_;
+    }));
+    store_.put("config", "main", configuration(5));
+    store_.put("evacuations", "leon", json::object());
+    // Then both are known once it is back
+    store_.faults_.down_ = false;
+    EXPECT_TRUE(run_until([&] { return last_number() == 5; }));
+    EXPECT_TRUE(run_until([&] {
+        const auto orders = told<decide::platform_orders>();
+        return std::any_of(orders.begin(), orders.end(), [](const decide::platform_orders& o) {
+            return !o.orders_.empty() && o.orders_.front().subject_ == "evacuations/leon" &&
+                   !o.orders_.front().rule_.empty();
+        });
+    }));
+}
+
+TEST_F(following, tells_of_the_end_of_an_evacuation)
+{
+    ASSERT_TRUE(start_watching());
+    store_.put("evacuations", "leon", json::object());
+    ASSERT_TRUE(run_until([&] { return told<decide::platform_orders>().size() > 2; }));
+    // When the operators take the order back
+    store_.remove("evacuations", "leon");
+    // Then it is told as an order without a rule, so that it wins over the one before
+    EXPECT_TRUE(run_until([&] {
+        const auto orders = told<decide::platform_orders>().back().orders_;
+        return orders.size() == 1 && orders.front().subject_ == "evacuations/leon" &&
+               orders.front().rule_.empty();
+    }));
+}
+
+TEST_F(following, writes_the_status_of_a_roll_out_until_it_is_there)
+{
+    ASSERT_TRUE(start_watching());
+    // Given a store whose answers to writes are lost
+    store_.faults_.loses_writes_ = true;
+    // When a version is ordered
+    store_.put("rollouts", "board", {{"service", "board"}, {"targetVersion", "v2"}, {"durationS", 10}});
+    // Then its status tells that it is under way
+    ASSERT_TRUE(run_until([&] { return !store_.status("rollouts", "board").is_null(); }));
+    EXPECT_EQ(store_.status("rollouts", "board").at("state"), "active");
+    // And when it is taken back, that
+    ASSERT_TRUE(run_until([&] { return !told<decide::platform_moves>().empty(); }));
+    decide::move_fact fact = told<decide::platform_moves>().front().facts_.front();
+    fact.withdrawn_ = true;
+    watcher_.store_move(fact);
+    EXPECT_TRUE(run_until([&] { return store_.status("rollouts", "board").at("state") == "rolled_back"; }));
+}
+
+TEST_F(following, passes_over_what_another_writer_spoilt)
+{
+    ASSERT_TRUE(start_watching());
+    // When objects come that name nothing to use
+    store_.put("config", "main", {{"version", 7}});
+    store_.put("rollouts", "board", "later");
+    // Then what follows them is taken all the same
+    store_.put("rollouts", "desk", {{"service", "desk"}, {"targetVersion", "v2"}, {"durationS", 10}});
+    store_.put("config", "main", configuration(8));
+    EXPECT_TRUE(run_until([&] { return last_number() == 8; }));
+    EXPECT_TRUE(run_until([&] {
+        const auto moves = told<decide::platform_moves>();
+        return !moves.empty() && moves.back().service_ == service_name("desk");
+    }));
+}
+
+} // namespace guavahaven::platform
