A move is not held up by judges that join while it is under way

Cause: a judge states where a move stands as news when it starts, with the moment as the time of the last change, and joining facts took the later time. Each new instance of a version that is being brought in may become a judge, so the time at the first share began anew with each. Change: of two facts of the same progress the earlier stands. Facts are now ordered as a whole, since a time that is chosen apart from the rest made joining depend on the order. Tests: short_move.is_not_held_up_by_judges_that_join_..., short_move.facts_join_to_the_same_in_every_order: the first fails with the later time, the second with a time chosen by progress while the rest is joined part by part.

--- a/src/decide/view.cpp
+++ b/src/decide/view.cpp
@@ -1,10 +1,11 @@
 #include "decide/view.h"
 
 #include <algorithm>
-
-#include "base/guards.h"
 #include <array>
 #include <span>
+#include <tuple>
+
+#include "base/guards.h"
 
 namespace guavahaven::decide {
 
@@ -52,19 +53,26 @@
     return "unknown";
 }
 
+namespace {
+
+// The order in which one fact of a move replaces another. Of the same progress
+// the earlier one stands: a judge that starts while a move is under way states
+// as news what others have seen before.
+bool before(const move_fact& a, const move_fact& b)
+{
+    const auto progress = [](const move_fact& f) { return std::tuple(f.withdrawn_, f.done_, f.stage_); };
+    const auto precedence = [](const move_fact& f) { return std::tie(f.since_, f.reason_); };
+    if (progress(a) != progress(b))
+        return progress(a) < progress(b);
+    return precedence(b) < precedence(a);
+}
+
+} // namespace
+
 move_fact merge(const move_fact& a, const move_fact& b)
 {
-    move_fact joined = a;
-    joined.stage_ = std::max(a.stage_, b.stage_);
-    joined.done_ = a.done_ || b.done_;
-    joined.withdrawn_ = a.withdrawn_ || b.withdrawn_;
-    joined.since_ = std::max(a.since_, b.since_);
+    move_fact joined = before(a, b) ? b : a;
     joined.began_ = std::min(a.began_, b.began_);
-    // Of two reasons the one that belongs to a withdrawal stands; of two such, the lesser text.
-    if (a.withdrawn_ != b.withdrawn_)
-        joined.reason_ = a.withdrawn_ ? a.reason_ : b.reason_;
-    else
-        joined.reason_ = std::min(a.reason_, b.reason_);
     return joined;
 }
 
--- a/src/decide/view.h
+++ b/src/decide/view.h
@@ -37,7 +37,8 @@
     friend bool operator==(const member&, const member&) = default;
 };
 
-// How far a move has come. Facts only grow; merging takes the furthest.
+// How far a move has come. Facts only grow; merging takes the furthest, and of
+// two that are as far the earlier one.
 struct move_fact {
     move_id id_;
     service_name service_;
--- a/tests/decide/short_move_test.cpp
+++ b/tests/decide/short_move_test.cpp
@@ -75,6 +75,39 @@
 
 } // namespace
 
+TEST_F(short_move, is_not_held_up_by_judges_that_join_while_it_is_under_way)
+{
+    // Given a move that has been at its first share for a while
+    const move_fact known = fact_at(rule_, 0);
+    // When a judge that has just started states the same as news
+    move_fact news = known;
+    news.since_ += 4'000'000;
+    news.began_ = news.since_;
+    // Then the time at the share goes on from where it began, in whichever order the facts meet
+    EXPECT_EQ(merge(known, news), known);
+    EXPECT_EQ(merge(news, known), known);
+    // And the next share counts from its own beginning
+    move_fact next = fact_at(rule_, 1);
+    next.since_ += 6'000'000;
+    EXPECT_EQ(merge(merge(known, next), news), next);
+    EXPECT_EQ(merge(merge(next, news), known), next);
+}
+
+TEST_F(short_move, facts_join_to_the_same_in_every_order)
+{
+    move_fact withdrawn = fact_at(rule_, 0);
+    withdrawn.withdrawn_ = true;
+    withdrawn.reason_ = "failed";
+    withdrawn.since_ += 10;
+    move_fact later = fact_at(rule_, 2);
+    later.since_ += 20;
+    move_fact both = fact_at(rule_, 1);
+    both.withdrawn_ = true;
+    both.since_ += 15;
+    EXPECT_EQ(merge(merge(withdrawn, later), both), merge(withdrawn, merge(later, both)));
+    EXPECT_EQ(merge(merge(both, withdrawn), later), merge(both, merge(withdrawn, later)));
+}
+
 TEST_F(short_move, gives_a_bad_version_less_than_a_tenth_whenever_it_turns_bad)
 {
     // What it gets at its stages until it is done: half of the time at the first, one
