A cold backend server gets what the platform allows, not only what it bears for long

Cause: after a power cut every backend server is cold for 3 s, and the gates gave each 14 requests a second where the rule lets through 14 x 1.5 + 5. In those seconds two thirds of the requests were refused: the worst windows. Ruled out: the time until daemons and backend servers are back (all announced within 0.3 s of the power). Change: the adapter writes the service's cold rate times the platform's factor; the few requests above it stay a margin. A daemon that follows another at the same place leaves a cold backend server that was there before it alone for a second, since the earlier one may have used that second up.

--- a/src/backend/door.cpp
+++ b/src/backend/door.cpp
@@ -9,10 +9,14 @@
 
 constexpr duration tick_interval = std::chrono::milliseconds(20);
 constexpr duration answer_slack = std::chrono::milliseconds(30); // for an answer that is made at its deadline
+constexpr duration restart_least =
+    std::chrono::milliseconds(300); // from a daemon's end to the next one's start
+
 } // namespace
 
 door::door(event_loop& loop, metrics& counts, const settings& s, decide::gate decisions, outlets out)
-    : loop_(loop), metrics_(counts), settings_(s), gate_(std::move(decisions)), out_(std::move(out)),
+    : loop_(loop), metrics_(counts), settings_(s), made_(clock_.wall()), gate_(std::move(decisions)),
+      out_(std::move(out)),
       server_(loop, {}, [this](const std::shared_ptr<http::exchange>& e) { take_statement(*e); }),
       timer_(loop, [this] { tick(); })
 {
@@ -46,6 +50,12 @@
     return a.started_at_ < announced_->started_at_;
 }
 
+// True if an earlier daemon may have sent it requests a moment ago.
+bool door::is_older(const announcement& a) const
+{
+    return a.started_at_ != 0 && wall_time(std::chrono::milliseconds(a.started_at_)) + restart_least < made_;
+}
+
 void door::take(const announcement& a)
 {
     if (is_late(a))
@@ -65,7 +75,7 @@
     present_ = true;
     last_announcement_ = clock_.now();
     handle(decide::backend_announced{a.service_, a.version_, a.slots_, a.connections_, draining, a.start_,
-                                     a.instance_, a.cold_left_});
+                                     a.instance_, a.cold_left_, is_older(a)});
     out_.announced_({a.service_, a.version_, a.slots_, draining});
 }
 
--- a/src/backend/door.h
+++ b/src/backend/door.h
@@ -50,6 +50,7 @@
     void take(const announcement& a);
     void take(const farewell& f);
     bool is_late(const announcement& a) const;
+    bool is_older(const announcement& a) const;
     void take_whole(decide::run_id run, http::response r, bool complete);
     void apply(decide::gate_actions actions);
     void apply(const decide::start_run& a);
@@ -66,6 +67,7 @@
     metrics& metrics_;
     settings settings_;
     runtime_clock clock_;
+    wall_time made_;
     decide::gate gate_;
     outlets out_;
     http::server server_;
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -130,6 +130,22 @@
     return fallback.value_or(0);
 }
 
+double settings_file::number(const std::string& key, double fallback, double least, double most)
+{
+    const setting* s = find(key);
+    if (!s || s->value_.empty())
+        return fallback;
+    double read = 0;
+    const char* end = s->value_.data() + s->value_.size();
+    const auto [stopped, fault] = std::from_chars(s->value_.data(), end, read);
+    if (fault == std::errc() && stopped == end && read >= least && read <= most)
+        return read;
+    std::ostringstream range;
+    range << "expected a number from " << least << " to " << most;
+    fail(code::settings_bad_value, s->line_, key, range.str());
+    return fallback;
+}
+
 duration settings_file::milliseconds(const std::string& key, std::uint64_t fallback, std::uint64_t least,
                                      std::uint64_t most)
 {
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -29,6 +29,8 @@
     std::string text(const std::string& key, std::optional<std::string> fallback = {});
     std::uint64_t integer(const std::string& key, std::optional<std::uint64_t> fallback, std::uint64_t least,
                           std::uint64_t most);
+    // The fallback also stands for an empty value.
+    double number(const std::string& key, double fallback, double least, double most);
     duration milliseconds(const std::string& key, std::uint64_t fallback, std::uint64_t least,
                           std::uint64_t most);
 
--- a/src/decide/cold_pace.h
+++ b/src/decide/cold_pace.h
@@ -20,6 +20,8 @@
         until_ = left > duration::zero() ? now + left + lateness : now;
         assumed_.reset();
     }
+    // Another process may have sent requests up to this moment.
+    void follow_another(time_point until) { closed_until_ = until + window; }
     // It may be cold, until it says otherwise.
     void assume(time_point now) { assumed_ = now; }
     // A request that began at that time was answered: it has not restarted since.
@@ -36,7 +38,7 @@
     {
         const auto recent =
             std::count_if(begun_.begin(), begun_.end(), [now](time_point t) { return now - t < window; });
-        return !cold(now) || recent < static_cast<std::ptrdiff_t>(per_second);
+        return !cold(now) || (now >= closed_until_ && recent < static_cast<std::ptrdiff_t>(per_second));
     }
     void began(time_point now)
     {
@@ -50,6 +52,7 @@
     static constexpr duration lateness = std::chrono::milliseconds(200); // of an announcement
 
     time_point until_{};
+    time_point closed_until_{};
     std::optional<time_point> assumed_;
     std::deque<time_point> begun_;
 };
--- a/src/decide/gate.cpp
+++ b/src/decide/gate.cpp
@@ -18,7 +18,8 @@
 } // namespace
 
 gate::gate(daemon_name self, incarnation started, data_center_name data_center, time_point now)
-    : self_(std::move(self)), started_(started), data_center_(std::move(data_center)), registry_(now)
+    : self_(std::move(self)), started_(started), data_center_(std::move(data_center)), made_(now),
+      registry_(now)
 {
 }
 
@@ -80,6 +81,8 @@
     if (e.cold_left_) {
         limit_.state(e.slots_, e.connections_);
         pace_.stated(*e.cold_left_, now);
+        if (e.older_ && backend_start_ == 0)
+            pace_.follow_another(made_);
     }
     else {
         limit_.set_most(e.slots_, e.connections_);
--- a/src/decide/gate.h
+++ b/src/decide/gate.h
@@ -33,6 +33,7 @@
     std::string instance_{};  // its own name; empty if it has none
     // How much longer it is cold, if it says so; its slots then bound its runs.
     std::optional<duration> cold_left_{};
+    bool older_ = false; // it was there before this daemon, and may have had requests from an earlier one
     friend bool operator==(const backend_announced&, const backend_announced&) = default;
 };
 // No announcement came for too long, or its address refuses connections.
@@ -254,6 +255,7 @@
     daemon_name self_;
     incarnation started_;
     data_center_name data_center_;
+    time_point made_;
     view_ptr view_;
     std::optional<backend_announced> backend_;
     bool stopping_ = false;
--- a/tests/decide/stated_backend_test.cpp
+++ b/tests/decide/stated_backend_test.cpp
@@ -45,6 +45,33 @@
     EXPECT_EQ(runs_.size(), 12U);
 }
 
+TEST_F(stated_backend, gets_nothing_for_a_second_from_a_daemon_that_follows_another)
+{
+    // Given a cold backend server that an earlier daemon may just have sent requests
+    const auto announced = [](bool older) {
+        return backend_announced{
+            service_name("desk"), version_name("v1"), 12, 20, false, 7, "i-7", seconds(3), older};
+    };
+    gate fresh(daemon_name("10.0.0.9:1"), incarnation(9), data_center_name("leon"), now_);
+    const auto begun = [&](bool older) {
+        gate g(fresh);
+        g.handle(gate_view_changed{view_}, now_);
+        g.handle(announced(older), now_);
+        call c = make(1);
+        c.gate_ = incarnation(9);
+        std::size_t runs = 0;
+        for (const gate_action& a : g.handle(call_message{daemon_name("10.0.0.8:1"), c}, now_))
+            runs += std::holds_alternative<start_run>(a) ? 1 : 0;
+        return runs;
+    };
+    EXPECT_EQ(begun(true), 0U);
+    // But one that started with the daemon gets its rate at once
+    EXPECT_EQ(begun(false), 1U);
+    // And so does the other after a second
+    pass(milliseconds(1200));
+    EXPECT_EQ(begun(true), 1U);
+}
+
 TEST_F(stated_backend, gets_so_many_a_second_while_cold)
 {
     constexpr std::size_t unstated_rate = 10; // the rules of this test state none
--- a/tests/platform/rules_test.cpp
+++ b/tests/platform/rules_test.cpp
@@ -66,6 +66,9 @@
     // Cold limits only where there is a cold time
     EXPECT_EQ(c.find_service(service_name("board"))->cold_, (decide::cold_rule{14, std::chrono::seconds(3)}));
     EXPECT_FALSE(c.find_service(service_name("desk"))->cold_);
+    // And up to the factor by which the platform lets a service's rate be passed
+    const auto more = operators::parse_record(value(to_rules(object(main_object), {0.12, 60, 1.5})));
+    EXPECT_EQ(value(more).find_service(service_name("board"))->cold_->per_second_, 21U);
     EXPECT_EQ(c.callers_->body_bytes_, 67108864U);
     EXPECT_EQ(c.retry_of(service_name("board")).reserve_, 60U);
 }
