--- a/tests/platform/watcher_test.cpp
+++ b/tests/platform/watcher_test.cpp
@@ -200,6 +200,30 @@
     EXPECT_TRUE(run_until([&] { return store_.status("rollouts", "board").at("state") == "rolled_back"; }));
 }
 
+TEST_F(following, keeps_a_status_for_the_store_s_return)
+{
+    ASSERT_TRUE(start_watching());
+    store_.put("rollouts", "board", {{"service", "board"}, {"targetVersion", "v2"}, {"durationS", 10}});
+    ASSERT_TRUE(run_until([&] { return !store_.status("rollouts", "board").is_null(); }));
+    // Given a store that is away
+    store_.faults_.down_ = true;
+    store_.forget_history();
+    ASSERT_TRUE(run_until([&] {
+        const auto asked = told<decide::platform_asked>();
+        return !asked.empty() && !asked.back().answered_;
+    }));
+    // When the version is taken back, then no write is tried in vain
+    decide::move_fact fact = told<decide::platform_moves>().front().facts_.front();
+    fact.withdrawn_ = true;
+    store_.forget_calls();
+    watcher_.store_move(fact);
+    run_for(std::chrono::seconds(2));
+    EXPECT_EQ(store_.count("PUT /objects/rollouts/board/status"), 0U);
+    // But once it is back
+    store_.faults_.down_ = false;
+    EXPECT_TRUE(run_until([&] { return store_.status("rollouts", "board").at("state") == "rolled_back"; }));
+}
+
 TEST_F(following, passes_over_what_another_writer_spoilt)
 {
     ASSERT_TRUE(start_watching());
