Each decision on a request has a log line; guavahaven trace joins them

Cause: on-call engineers have only logs, and the entry wrote a line for failed requests alone, the gate none; a request could not be followed. Requests that were refused before any attempt had neither a line nor a count. Change: entry and gate write a line for each decision with its inputs (gate chosen, its load and the age of that, instance, time left), at a bounded pace with what was left out counted; 'guavahaven trace ID LOG...' joins them. No functional change of the decisions.

--- a/src/backend/door.cpp
+++ b/src/backend/door.cpp
@@ -118,6 +118,10 @@
 {
     ++metrics_.counter("guavahaven_gate_runs_total");
     last_run_ = static_cast<std::uint64_t>(clock_.wall().time_since_epoch().count());
+    if (run_log_.take(clock_.now()))
+        run_log_.write("run_started", "call=" + decide::to_string(a.call_) + " instance=" + a.instance_ +
+                                          " load=" + decide::to_string(gate_.load()) +
+                                          " left_ms=" + std::to_string(a.timeout_.count() / 1000));
     if (!backend_)
         return handle(decide::run_not_sent{a.run_});
     http::request request = a.request_;
@@ -212,8 +216,35 @@
     cancel_run(a.run_);
 }
 
+void door::log_end(const decide::gate_to_entry& m)
+{
+    const auto write = [this](paced_log& log, const char* event, const decide::call_id& id,
+                              const std::string& detail) {
+        if (log.take(clock_.now()))
+            log.write(event, "call=" + decide::to_string(id) + " " + detail);
+    };
+    std::visit(guavahaven::overloaded{
+                   [&](const decide::answer& a) {
+                       write(run_log_, "answered", a.id_,
+                             "status=" + std::to_string(a.response_.status_) +
+                                 (a.complete_ ? "" : " parts_follow=yes"));
+                   },
+                   [&](const decide::refusal& r) {
+                       write(refusal_log_, "refused", r.id_,
+                             "result=" + std::string(name(r.code_)) + " load=" + decide::to_string(r.load_));
+                   },
+                   [&](const decide::broken& b) {
+                       write(refusal_log_, "run_broken", b.id_,
+                             "result=" + std::string(name(b.code_)) + " load=" + decide::to_string(b.load_));
+                   },
+                   [](const auto&) {}, // receipts, further parts and fences' answers
+               },
+               m);
+}
+
 void door::apply(const decide::send_to_entry& a)
 {
+    log_end(a.message_);
     out_.to_entry_(a.to_, a.message_);
 }
 
--- a/src/backend/door.h
+++ b/src/backend/door.h
@@ -12,6 +12,7 @@
 #include "backend/announcement.h"
 #include "base/http.h"
 #include "base/metrics.h"
+#include "base/paced_log.h"
 #include "decide/control.h"
 #include "decide/gate.h"
 
@@ -59,6 +60,7 @@
     void apply(const decide::send_to_entry& a);
     void apply(const decide::send_to_peer_gate& a);
     void apply(const decide::backend_down& a);
+    void log_end(const decide::gate_to_entry& m);
     void cancel_run(decide::run_id run);
     void connect(const http::address& at, std::uint32_t connections);
     void tick();
@@ -79,6 +81,9 @@
     std::uint32_t connections_ = 0;
     time_point last_announcement_{};
     bool present_ = false;
+    // Refusals and breaks have their own, so that what goes well doesn't crowd them out.
+    paced_log run_log_{"gate", served_lines_per_second};
+    paced_log refusal_log_{"gate", failed_lines_per_second};
     timer timer_;
 };
 
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -1,7 +1,7 @@
 #pragma once
 
 // Structured log lines through log4cxx: one for each change of what the process
-// believes and for each request that failed. Counters carry what happens often.
+// believes, and, at a bounded pace (base/paced_log.h), one for each decision on a request.
 
 #include <string>
 
--- a/src/base/result.h
+++ b/src/base/result.h
@@ -30,6 +30,8 @@
     rules_too_large = 117,
     rules_unreadable = 118,
     report_unwritable = 119,
+    log_unreadable = 120,
+    request_not_logged = 121,
 
     platform_unreachable = 200,
     platform_conflict = 201,
--- a/src/caller/door.cpp
+++ b/src/caller/door.cpp
@@ -57,6 +57,8 @@
 
 void door::handle(const decide::entry_event& e)
 {
+    if (const auto* m = std::get_if<decide::gate_message>(&e))
+        log_setback(*m);
     for (const decide::entry_action& action : entry_.handle(e, clock_.now()))
         std::visit([this](const auto& a) { apply(a); }, action);
     arm();
@@ -64,9 +66,41 @@
 
 void door::apply(const decide::send_to_gate& a)
 {
+    if (const auto* c = std::get_if<decide::call>(&a.message_))
+        log_sent(a.to_, *c);
     to_gate_(a.to_, a.message_, a.fresh_connection_);
 }
 
+// Where an attempt goes, and what was known of that gate.
+void door::log_sent(const daemon_name& to, const decide::call& c)
+{
+    const time_point now = clock_.now();
+    if (!served_log_.take(now))
+        return;
+    std::string known = " load=unknown";
+    if (const auto report = entry_.known_gates().last_report(to))
+        known = " load=" + decide::to_string(report->first) +
+                " load_age_ms=" + std::to_string((now - report->second).count() / 1000);
+    served_log_.write("sent", "id=" + c.identity_ + " call=" + decide::to_string(c.id_) + " gate=" +
+                                  to.str() + " service=" + c.service_.str() + " version=" + c.version_.str() +
+                                  known + " left_ms=" + std::to_string(c.remaining_.count() / 1000) +
+                                  " configuration=" + std::to_string(c.configuration_.value()));
+}
+
+// An attempt that came to nothing; another one may follow.
+void door::log_setback(const decide::gate_message& m)
+{
+    std::optional<code> why;
+    decide::call_id id;
+    if (const auto* r = std::get_if<decide::refusal>(&m.message_))
+        std::tie(why, id) = std::tuple(r->code_, r->id_);
+    else if (const auto* b = std::get_if<decide::broken>(&m.message_))
+        std::tie(why, id) = std::tuple(b->code_, b->id_);
+    if (why && failed_log_.take(clock_.now()))
+        failed_log_.write("attempt_failed", "call=" + decide::to_string(id) + " gate=" + m.from_.str() +
+                                                " result=" + std::string(name(*why)));
+}
+
 void door::apply(const decide::reply& a)
 {
     const auto at = exchanges_.find(a.exchange_);
@@ -120,15 +154,17 @@
                        of_class + ",result=\"" + std::string(name(a.code_)) + "\"");
     metrics_.timing("guavahaven_request_seconds", of_class).record(a.took_);
     constexpr int server_failed = 500;
-    if ((a.code_ == code::ok && a.status_ < server_failed) || !log_pace_.take(clock_.now()))
+    const bool failed = a.code_ != code::ok || a.status_ >= server_failed;
+    paced_log& log = failed ? failed_log_ : served_log_;
+    if (!log.take(clock_.now()))
         return;
-    log_info("entry", "request_failed",
-             "id=" + a.identity_ + " code=" + std::to_string(number(a.code_)) +
-                 " result=" + std::string(name(a.code_)) + " status=" + std::to_string(a.status_) +
-                 " took_ms=" + std::to_string(a.took_.count() / 1000) + " attempts=" +
-                 std::to_string(a.attempts_) + " gate=" + a.gate_.str() + " service=" + a.service_.str() +
-                 " version=" + a.version_.str() + " class=" + a.class_.str() + " route=\"" + a.route_ +
-                 "\" configuration=" + std::to_string(a.configuration_.value()));
+    log.write(failed ? "request_failed" : "request_served",
+              "id=" + a.identity_ + " code=" + std::to_string(number(a.code_)) +
+                  " result=" + std::string(name(a.code_)) + " status=" + std::to_string(a.status_) +
+                  " took_ms=" + std::to_string(a.took_.count() / 1000) + " attempts=" +
+                  std::to_string(a.attempts_) + " gate=" + a.gate_.str() + " service=" + a.service_.str() +
+                  " version=" + a.version_.str() + " class=" + a.class_.str() + " route=\"" + a.route_ +
+                  "\" configuration=" + std::to_string(a.configuration_.value()));
 }
 
 void door::tick()
--- a/src/caller/door.h
+++ b/src/caller/door.h
@@ -8,9 +8,9 @@
 #include <memory>
 #include <optional>
 
-#include "base/call_budget.h"
 #include "base/http.h"
 #include "base/metrics.h"
+#include "base/paced_log.h"
 #include "decide/entry.h"
 
 namespace guavahaven::caller {
@@ -33,9 +33,6 @@
     bool busy() const { return entry_.busy() || !server_.quiet(); }
 
 private:
-    // Beyond these, failed requests are only counted.
-    static constexpr double log_lines_per_second = 50;
-
     struct open_exchange {
         std::shared_ptr<http::exchange> exchange_;
         std::uint64_t given_ = 0; // bytes of the body
@@ -48,6 +45,8 @@
     void apply(const decide::reply_part& a);
     void apply(const decide::reply_abort& a);
     void apply(const decide::request_ended& a);
+    void log_sent(const daemon_name& to, const decide::call& c);
+    void log_setback(const decide::gate_message& m);
     void give(decide::exchange_id id, open_exchange& to, const std::string& bytes);
     void tick();
     void arm();
@@ -60,7 +59,9 @@
     std::map<decide::exchange_id, open_exchange> exchanges_;
     decide::exchange_id last_exchange_;
     bool stopping_ = false;
-    call_budget log_pace_{log_lines_per_second, log_lines_per_second};
+    // Failures have lines of their own, so that what goes well doesn't crowd them out.
+    paced_log served_log_{"entry", served_lines_per_second};
+    paced_log failed_log_{"entry", failed_lines_per_second};
     timer timer_;
     std::optional<time_point> armed_; // when the timer fires
 };
--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -217,6 +217,14 @@
     return chosen->name_;
 }
 
+std::optional<std::pair<load_report, time_point>> balancer::last_report(const daemon_name& gate) const
+{
+    const auto at = gates_.find(gate);
+    if (at == gates_.end() || !at->second.has_report_)
+        return {};
+    return std::pair(at->second.load_, at->second.reported_);
+}
+
 incarnation balancer::incarnation_of(const daemon_name& gate) const
 {
     const auto at = gates_.find(gate);
--- a/src/decide/balancer.h
+++ b/src/decide/balancer.h
@@ -41,6 +41,9 @@
                                       const std::set<daemon_name>& tried, random_engine& random,
                                       time_point now) const;
 
+    // What a gate last reported of itself, and when; nothing if it never did.
+    std::optional<std::pair<load_report, time_point>> last_report(const daemon_name& gate) const;
+
     // Of the process that is announced under a name; zero if none is.
     incarnation incarnation_of(const daemon_name& gate) const;
 
--- a/src/main/guavahaven.cpp
+++ b/src/main/guavahaven.cpp
@@ -18,6 +18,7 @@
 #include "operator/rules.h"
 #include "operator/status.h"
 #include "operator/text_diff.h"
+#include "operator/trace.h"
 
 namespace {
 
@@ -36,6 +37,7 @@
   guavahaven report FILE --daemon=ADDRESS
   guavahaven explain METHOD PATH (--file=FILE | --platform=ADDRESS) [--header=NAME:VALUE]
   guavahaven history --platform=ADDRESS [--count=N] [--json]
+  guavahaven trace ID LOG...
   guavahaven (-h | --help)
   guavahaven --version
 
@@ -47,6 +49,7 @@
   report   Writes a page with plots of moves and of the service of each class.
   explain  Tells which rules decide for a request, and who asked for them.
   history  Lists the last configurations: number, time, author.
+  trace    Joins what the logs of several daemons say of one request.
 
 Options:
   --platform=ADDRESS   IP:PORT of the platform's object API.
@@ -531,15 +534,34 @@
     return done;
 }
 
+int trace(const arguments& args)
+{
+    std::vector<operators::log_line> lines;
+    for (const std::string& path : args.at("LOG").asStringList()) {
+        std::ifstream in(path);
+        if (!in)
+            return report({code::log_unreadable, path}, refused);
+        for (std::string line; std::getline(in, line);)
+            lines.push_back({path, line});
+    }
+    const std::vector<operators::log_line> story = operators::trace(args.at("ID").asString(), lines);
+    if (story.empty())
+        return report({code::request_not_logged, args.at("ID").asString()}, refused);
+    const bool several = args.at("LOG").asStringList().size() > 1;
+    for (const operators::log_line& l : story)
+        std::cout << (several ? l.source_ + ": " : "") << l.text_ << "\n";
+    return done;
+}
+
 int dispatch(const arguments& args)
 {
     struct command {
         const char* name_;
         int (*run_)(const arguments&);
     };
-    constexpr command commands[] = {{"check", check},    {"diff", diff},           {"apply", apply},
-                                    {"status", status},  {"report", write_report}, {"explain", explain},
-                                    {"history", history}};
+    constexpr command commands[] = {{"check", check},     {"diff", diff},           {"apply", apply},
+                                    {"status", status},   {"report", write_report}, {"explain", explain},
+                                    {"history", history}, {"trace", trace}};
     for (const command& c : commands)
         if (args.at(c.name_).asBool())
             return c.run_(args);
