A call that comes when its caller no longer waits does not run

Ruled out: closing the connection when it is doubted (a gate that stands still for 0.25 s would lose all its calls); a timeout of unacknowledged bytes alone (nothing under its length, and nothing for a machine that stood still). Change: a call says when it left by the boot clock of its machine; the receiver takes off by how much longer it was on its way than the quickest one from that process, and refuses what has no time left. Wire protocol 4.

--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -27,6 +27,7 @@
 struct system_clocks {
     static time_point now();
     static wall_time wall();
+    static duration boot();
 };
 
 // Clocks that stand still until a test advances them.
@@ -42,6 +43,8 @@
 
     time_point now() const;
     wall_time wall() const;
+    // Since the machine's start; unlike now() it goes on while the machine is suspended.
+    duration boot() const;
 
     // Moves a paused clock; has no effect on the real one.
     void advance(duration by);
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -12,6 +12,7 @@
 #include "operator/samples.h"
 #include "operator/status.h"
 #include "peer/mesh.h"
+#include "peer/transit_times.h"
 
 namespace guavahaven {
 
@@ -132,10 +133,30 @@
     {
         if (to == self_)
             mail_.post(to_gate{decide::call_message{self_, m}});
+        else if (const auto* c = std::get_if<decide::call>(&m))
+            mesh_.send(to, stamped(*c), fresh);
         else
             mesh_.send(to, m, fresh);
     }
 
+    decide::entry_to_gate stamped(decide::call c) const
+    {
+        c.sent_ms_ = static_cast<std::uint64_t>(clock_.boot() / std::chrono::milliseconds(1));
+        return c;
+    }
+
+    // What a call lost on its way, its caller no longer waits.
+    void shorten(const daemon_name& from, decide::call& c)
+    {
+        const duration late =
+            transit_times_.lateness(from, c.id_.entry_, std::chrono::milliseconds(c.sent_ms_), clock_.boot());
+        c.remaining_ -= late;
+        if (c.remaining_ <= duration::zero())
+            log_info("gate", "call_expired_on_its_way",
+                     "id=" + c.identity_ + " call=" + decide::to_string(c.id_) +
+                         " late_ms=" + std::to_string(late.count() / 1000));
+    }
+
     // From the gate here to an entry, here or elsewhere.
     void answer(const daemon_name& to, decide::gate_to_entry m)
     {
@@ -159,8 +180,10 @@
         const peer::message& m = std::get<peer::received>(e).message_;
         std::visit(guavahaven::overloaded{
                        [](const peer::hello&) {},
-                       [&](const decide::entry_to_gate& x) {
-                           mail_.post(to_gate{decide::call_message{from, x}});
+                       [&](decide::entry_to_gate x) {
+                           if (auto* c = std::get_if<decide::call>(&x))
+                               shorten(from, *c);
+                           mail_.post(to_gate{decide::call_message{from, std::move(x)}});
                        },
                        [&](const decide::gate_to_entry& x) {
                            mail_.post(to_entry{decide::gate_message{from, x}});
@@ -353,6 +376,7 @@
     event_loop loop_;
     metrics metrics_;
     decide::control control_;
+    peer::transit_times transit_times_;
     mailbox<task_message> mail_;
     peer::mesh mesh_;
     backend::door backend_;
--- a/src/decide/call.h
+++ b/src/decide/call.h
@@ -23,6 +23,12 @@
     friend auto operator<=>(const call_id&, const call_id&) = default;
 };
 
+// As log lines name an attempt, so that those of entry and gate can be joined.
+inline std::string to_string(const call_id& id)
+{
+    return std::to_string(id.entry_.value()) + "-" + std::to_string(id.sequence_);
+}
+
 // What a gate knows of its backend server's load, carried on every answer.
 struct load_report {
     std::uint32_t in_flight_ = 0;
@@ -32,6 +38,12 @@
     friend bool operator==(const load_report&, const load_report&) = default;
 };
 
+// As log lines name it: running/waiting/limit.
+inline std::string to_string(const load_report& r)
+{
+    return std::to_string(r.in_flight_) + "/" + std::to_string(r.queued_) + "/" + std::to_string(r.limit_);
+}
+
 // entry -> gate: run this request.
 struct call {
     call_id id_;
@@ -45,8 +57,9 @@
     class_name class_;
     std::string route_; // 'METHOD PATH' of the rule, which evidence is kept by
     configuration_number configuration_;
-    duration remaining_{}; // time left to the caller's deadline
-    duration waited_{};    // before it came here, in earlier tries of its caller
+    duration remaining_{};      // time left to the caller's deadline
+    std::uint64_t sent_ms_ = 0; // by the clock of the entry's machine, when it left for another daemon
+    duration waited_{};         // before it came here, in earlier tries of its caller
     std::uint32_t depth_ = 0;
     http::request request_;
 
--- a/src/decide/cold_pace.h
+++ b/src/decide/cold_pace.h
@@ -31,6 +31,12 @@
             assumed_.reset();
     }
 
+    // How long nothing may begin because of that.
+    duration closed_for(time_point now) const
+    {
+        return cold(now) ? std::max(duration::zero(), closed_until_ - now) : duration::zero();
+    }
+
     bool cold(time_point now) const { return assumed_ || now < until_; }
 
     // True if one more request may begin.
--- a/src/decide/entry.cpp
+++ b/src/decide/entry.cpp
@@ -61,7 +61,15 @@
 void entry::on(const caller_request& e, time_point now)
 {
     const auto refuse = [&](code why) {
-        actions_.push_back(reply{e.exchange_, error_response(protocol_, why, come_back()), true});
+        http::response answer = error_response(protocol_, why, come_back());
+        request_ended ended;
+        ended.identity_ = http::find_header(e.request_.headers_, protocol_.identity_header_);
+        ended.route_ = e.request_.method_ + " " + http::path_of(e.request_.target_);
+        ended.class_ = class_name("none");
+        ended.status_ = answer.status_;
+        ended.code_ = why;
+        actions_.push_back(reply{e.exchange_, std::move(answer), true});
+        actions_.push_back(ended);
     };
     if (!view_ || !view_->configuration_)
         return refuse(code::starting);
--- a/src/decide/entry.h
+++ b/src/decide/entry.h
@@ -109,6 +109,9 @@
     bool busy() const { return !requests_.empty(); }
     const caller_protocol& protocol() const { return protocol_; }
 
+    // By which gates are chosen.
+    const balancer& known_gates() const { return balancer_; }
+
     // When a tick is wanted next; empty if nothing is under way.
     std::optional<time_point> next_due() const;
 
--- a/src/decide/gate.h
+++ b/src/decide/gate.h
@@ -102,6 +102,7 @@
 // Give a request to the backend server.
 struct start_run {
     run_id run_;
+    call_id call_; // of the attempt that it runs for
     http::request request_;
     duration timeout_{};
     std::string instance_; // that is meant; empty if none was announced
--- a/src/peer/layouts.h
+++ b/src/peer/layouts.h
@@ -42,7 +42,8 @@
                   &decide::call::keyed_, &decide::call::request_number_, &decide::call::once_,
                   &decide::call::service_, &decide::call::version_, &decide::call::class_,
                   &decide::call::route_, &decide::call::configuration_, &decide::call::remaining_,
-                  &decide::call::waited_, &decide::call::depth_, &decide::call::request_);
+                  &decide::call::sent_ms_, &decide::call::waited_, &decide::call::depth_,
+                  &decide::call::request_);
 GUAVAHAVEN_LAYOUT(decide::receipt, &decide::receipt::id_);
 GUAVAHAVEN_LAYOUT(decide::answer, &decide::answer::id_, &decide::answer::load_, &decide::answer::response_,
                   &decide::answer::complete_);
--- a/src/peer/message.h
+++ b/src/peer/message.h
@@ -15,7 +15,7 @@
 namespace guavahaven::peer {
 
 // Raised whenever a message changes in a way that older daemons can't read.
-inline constexpr std::uint32_t protocol_version = 3;
+inline constexpr std::uint32_t protocol_version = 4;
 
 // Bytes of a frame's payload that are accepted at most.
 inline constexpr std::size_t frame_most = 4 * 1024 * 1024;
--- a/tests/decide/gate_test.cpp
+++ b/tests/decide/gate_test.cpp
@@ -39,6 +39,19 @@
     EXPECT_EQ(g.last<decide::broken>()->code_, code::outcome_unknown);
 }
 
+TEST(expired_call, does_not_run)
+{
+    // Given a call that a cut link delivers when its caller has long gone
+    gate_harness g;
+    decide::call late = g.make(1);
+    late.remaining_ = std::chrono::milliseconds(-1);
+    g.send(late);
+    // Then it is refused as not run, though the backend server is idle
+    EXPECT_TRUE(g.runs_.empty());
+    ASSERT_TRUE(g.last<decide::refusal>());
+    EXPECT_EQ(g.last<decide::refusal>()->code_, code::deadline_exceeded);
+}
+
 TEST(non_idempotent_request_runs_at_most_once, when_a_caller_repeats_its_key)
 {
     gate_harness g;
