A gate that gives no sign is left alone at once, and a refusal is not followed by it

A silent gate was ejected only after three failures in a row, and never more than half of a pool, where all outside were silent. A request that the own gate had refused as not run went to a silent one, and its caller was told 'unknown' in place of 'come back'. Ruled out: the failure detector (its 4 s are for deaths, and tell the whole mesh); the own gate (it was full). Change: the first silence of 250 ms ejects for 0.5 to 2 s, however many are silent; after a refusal no silent gate is tried.

--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -24,9 +24,10 @@
 constexpr std::uint32_t failures_to_eject = 3; // one after the other
 constexpr duration first_ejection = std::chrono::seconds(1);
 constexpr duration longest_ejection = std::chrono::seconds(30);
-constexpr double ejection_jitter = 0.5;   // of its length, at random
-constexpr std::size_t ejected_one_in = 2; // at most one in so many gates of a pool
-constexpr int draws_most = 8;             // before the pool is walked through
+constexpr duration longest_silence = std::chrono::seconds(2); // so that the end of a cut is noticed
+constexpr double ejection_jitter = 0.5;                       // of its length, at random
+constexpr std::size_t ejected_one_in = 2;                     // at most one in so many gates of a pool
+constexpr int draws_most = 8;                                 // before the pool is walked through
 
 } // namespace
 
@@ -210,8 +211,10 @@
     const auto untried = [&](const gate_state& g) { return !tried.contains(g.name_); };
     const auto healthy = [&](const gate_state& g) { return g.ejected_until_ <= now && untried(g); };
     const gate_state* chosen = choose_near_or_far(at->second, healthy, random, now);
+    const auto not_silent = [&](const gate_state& g) { return g.silent_until_ <= now && untried(g); };
     if (!chosen)
-        chosen = choose_near_or_far(at->second, untried, random, now);
+        chosen =
+            choose_near_or_far(at->second, tried.empty() ? usable(untried) : usable(not_silent), random, now);
     if (!chosen)
         return {};
     return chosen->name_;
@@ -260,11 +263,12 @@
         g.was_refused_ = true;
         return;
     case attempt_end::failed:
-        if (++g.failures_ >= failures_to_eject)
-            eject(g, random, now);
+        if (++g.failures_ >= failures_to_eject && may_eject(g, now))
+            eject(g, longest_ejection, random, now);
         return;
     case attempt_end::unreachable:
-        eject(g, random, now);
+        if (may_eject(g, now))
+            eject(g, longest_ejection, random, now);
         return;
     case attempt_end::dropped:
         return;
@@ -281,6 +285,17 @@
     at->second.has_report_ = true;
 }
 
+// However many they are: where a data centre is cut off, all gates of the others
+// are silent, and each call to one of them is lost.
+void balancer::fell_silent(const daemon_name& gate, random_engine& random, time_point now)
+{
+    const auto at = gates_.find(gate);
+    if (at == gates_.end())
+        return;
+    eject(at->second, longest_silence, random, now);
+    at->second.silent_until_ = at->second.ejected_until_;
+}
+
 // When most gates of a service fail, the fault is not theirs alone, and leaving
 // them all would flood the rest.
 bool balancer::may_eject(const gate_state& g, time_point now) const
@@ -292,12 +307,12 @@
     return (ejected(g.pool_.first, g.pool_.second, now) + 1) * ejected_one_in <= size;
 }
 
-void balancer::eject(gate_state& g, random_engine& random, time_point now) const
+void balancer::eject(gate_state& g, duration longest, random_engine& random, time_point now) const
 {
-    if (g.ejected_until_ > now || !may_eject(g, now))
+    if (g.ejected_until_ > now)
         return;
     g.failures_ = 0;
-    const duration length = std::min(longest_ejection, first_ejection * (1 << std::min(g.ejections_, 5U)));
+    const duration length = std::min(longest, first_ejection * (1 << std::min(g.ejections_, 5U)));
     const double jitter = 1 - ejection_jitter * random_share(random);
     g.ejected_until_ = now + std::chrono::duration_cast<duration>(length * jitter);
     ++g.ejections_;
--- a/src/decide/balancer.h
+++ b/src/decide/balancer.h
@@ -36,7 +36,9 @@
     // a gate outlives its leaving for a while, should it come back.
     void set_view(const view& known, time_point now);
 
-    // The gate for one more call, none of 'tried'; empty if there is none.
+    // The gate for one more call, none of 'tried'; empty if there is none. A gate
+    // that has fallen silent is better than none for a first attempt only: a
+    // refusal by another tells the caller more than silence.
     std::optional<daemon_name> choose(const service_name& service, const version_name& version,
                                       const std::set<daemon_name>& tried, random_engine& random,
                                       time_point now) const;
@@ -51,6 +53,8 @@
     void began(const daemon_name& gate);
     void ended(const daemon_name& gate, attempt_end how, duration took, random_engine& random,
                time_point now);
+    // Not even a receipt came from it: it is cut off, or stands still.
+    void fell_silent(const daemon_name& gate, random_engine& random, time_point now);
     void reported(const daemon_name& gate, const load_report& load, time_point now);
 
     // Gates that get no calls now because of their failures.
@@ -79,6 +83,7 @@
         std::uint32_t failures_ = 0;  // one after the other
         std::uint32_t ejections_ = 0; // one after the other
         time_point ejected_until_{};
+        time_point silent_until_{}; // it is, as far as is known
     };
     struct pool {
         std::vector<gate_state*> near_;
@@ -101,7 +106,7 @@
                                                 time_point now);
     static void concentrate(pool& p);
     bool may_eject(const gate_state& g, time_point now) const;
-    void eject(gate_state& g, random_engine& random, time_point now) const;
+    void eject(gate_state& g, duration longest, random_engine& random, time_point now) const;
 
     data_center_name data_center_;
     std::map<daemon_name, gate_state> gates_; // nodes stay where they are
--- a/src/decide/entry.cpp
+++ b/src/decide/entry.cpp
@@ -350,9 +350,12 @@
             expire(r, now);
         else if (r.received_)
             wake_at(r, r.deadline_);
-        else if (!r.fenced_ && r.call_.once_)
+        else if (!r.fenced_ && r.call_.once_) {
+            balancer_.fell_silent(r.gate_, random_, now);
             ask_fate(r, now);
+        }
         else {
+            balancer_.fell_silent(r.gate_, random_, now);
             // What is sent next goes over a connection that is not silent.
             actions_.push_back(send_to_gate{r.gate_, cancel{r.call_.id_}, true});
             settle_broken(r, now, code::outcome_unknown);
--- a/tests/decide/balancer_test.cpp
+++ b/tests/decide/balancer_test.cpp
@@ -213,6 +213,28 @@
     EXPECT_EQ(look(300).size(), 3U);
 }
 
+TEST_F(balancer_story, leaves_silent_gates_alone_however_many_they_are)
+{
+    // Given a data centre that is cut off: the gates of the others are silent
+    const daemon_name near = add(leon);
+    std::vector<daemon_name> far;
+    for (int i = 0; i < 3; ++i)
+        far.push_back(add(celaya));
+    take_view();
+    for (const daemon_name& gate : far)
+        balancer_.fell_silent(gate, random_, now_);
+
+    // Then all calls stay, also above what the own gate bears well
+    EXPECT_EQ(begin(40)[near], 40);
+    // Also those that it refuses: its refusal tells a caller more than silence would
+    EXPECT_FALSE(choose({near}));
+
+    // They are tried again soon, so that the end of the cut is noticed
+    now_ += std::chrono::seconds(2);
+    auto each = begin(40);
+    EXPECT_GT(each[far[0]] + each[far[1]] + each[far[2]], 0);
+}
+
 TEST_F(balancer_story, a_single_gate_is_never_ejected)
 {
     const daemon_name only = add(leon);
--- a/tests/decide/entry_test.cpp
+++ b/tests/decide/entry_test.cpp
@@ -209,6 +209,16 @@
     EXPECT_TRUE(last_.empty());
 }
 
+TEST_F(entry_story, a_gate_that_gave_no_sign_gets_no_further_requests_for_a_while)
+{
+    // Given a request whose gate gives no sign of having it
+    const send_to_gate silent = ask(first, "GET", "/shifts/1");
+    advance(std::chrono::milliseconds(260));
+    // When more requests follow, then they go to the others
+    for (std::uint64_t i = 2; i < 30; ++i)
+        EXPECT_NE(ask(exchange_id(i), "GET", "/shifts/1").to_, silent.to_);
+}
+
 TEST_F(entry_story, an_expired_request_that_only_waited_is_told_as_not_run)
 {
     const send_to_gate s = ask(first, "POST", "/placements");
