--- a/src/backend/door.h
+++ b/src/backend/door.h
@@ -14,7 +14,7 @@
 #include "base/metrics.h"
 #include "base/paced_log.h"
 #include "decide/control.h"
-#include "decide/gate.h"
+#include "decide/gate/gate.h"
 
 namespace guavahaven::backend {
 
--- a/src/base/result.cpp
+++ b/src/base/result.cpp
@@ -32,7 +32,7 @@
     entry{code::report_unwritable, "report_unwritable", "check the folder and the space left there"},
     entry{code::log_unreadable, "log_unreadable", "check the path and permissions of the log"},
     entry{code::request_not_logged, "request_not_logged",
-          "give the logs of the daemon that the caller was connected to; lines beyond 50 a second are left "
+          "give the logs of the daemon that the caller was connected to; a busy daemon leaves lines "
           "out"},
     entry{code::platform_unreachable, "platform_unreachable", "wait for the platform or check its address"},
     entry{code::platform_conflict, "platform_conflict", "read the other change, merge it, apply again"},
--- a/src/caller/door.h
+++ b/src/caller/door.h
@@ -11,7 +11,7 @@
 #include "base/http.h"
 #include "base/metrics.h"
 #include "base/paced_log.h"
-#include "decide/entry.h"
+#include "decide/entry/entry.h"
 
 namespace guavahaven::caller {
 
--- a/src/decide/distribution.cpp
+++ b/src/decide/configuration/distribution.cpp
@@ -1,4 +1,4 @@
-#include "decide/distribution.h"
+#include "decide/configuration/distribution.h"
 
 #include <algorithm>
 
--- a/src/decide/order_book.cpp
+++ b/src/decide/configuration/order_book.cpp
@@ -1,4 +1,4 @@
-#include "decide/order_book.h"
+#include "decide/configuration/order_book.h"
 
 #include <algorithm>
 
--- a/src/decide/text_delta.cpp
+++ b/src/decide/configuration/text_delta.cpp
@@ -1,4 +1,4 @@
-#include "decide/text_delta.h"
+#include "decide/configuration/text_delta.h"
 
 #include <string_view>
 #include <unordered_map>
--- a/src/decide/control.h
+++ b/src/decide/control.h
@@ -12,13 +12,13 @@
 #include <vector>
 
 #include "base/random.h"
-#include "decide/data_center_return.h"
-#include "decide/distribution.h"
-#include "decide/failure_detector.h"
-#include "decide/membership.h"
-#include "decide/move_tracker.h"
-#include "decide/order_book.h"
-#include "decide/readiness.h"
+#include "decide/configuration/distribution.h"
+#include "decide/configuration/order_book.h"
+#include "decide/configuration/readiness.h"
+#include "decide/entry/data_center_return.h"
+#include "decide/membership/failure_detector.h"
+#include "decide/membership/membership.h"
+#include "decide/moves/move_tracker.h"
 
 namespace guavahaven::decide {
 
--- a/src/decide/balancer.cpp
+++ b/src/decide/entry/balancer.cpp
@@ -1,4 +1,4 @@
-#include "decide/balancer.h"
+#include "decide/entry/balancer.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/decide/data_center_return.cpp
+++ b/src/decide/entry/data_center_return.cpp
@@ -1,4 +1,4 @@
-#include "decide/data_center_return.h"
+#include "decide/entry/data_center_return.h"
 
 #include <algorithm>
 
--- a/src/decide/entry.cpp
+++ b/src/decide/entry/entry.cpp
@@ -1,9 +1,9 @@
-#include "decide/entry.h"
+#include "decide/entry/entry.h"
 
 #include <algorithm>
 
 #include "base/guards.h"
-#include "decide/data_center_return.h"
+#include "decide/entry/data_center_return.h"
 #include "decide/routing.h"
 
 namespace guavahaven::decide {
--- a/src/decide/entry.h
+++ b/src/decide/entry/entry.h
@@ -12,10 +12,10 @@
 #include <vector>
 
 #include "base/random.h"
-#include "decide/balancer.h"
 #include "decide/call.h"
 #include "decide/caller_protocol.h"
-#include "decide/retry_budget.h"
+#include "decide/entry/balancer.h"
+#include "decide/entry/retry_budget.h"
 #include "decide/view.h"
 
 namespace guavahaven::decide {
--- a/src/decide/entry_answers.cpp
+++ b/src/decide/entry/entry_answers.cpp
@@ -1,6 +1,6 @@
 // The entry's decisions on what gates answer.
 
-#include "decide/entry.h"
+#include "decide/entry/entry.h"
 
 namespace guavahaven::decide {
 
--- a/src/decide/call_limiter.cpp
+++ b/src/decide/gate/call_limiter.cpp
@@ -1,4 +1,4 @@
-#include "decide/call_limiter.h"
+#include "decide/gate/call_limiter.h"
 
 #include <algorithm>
 
--- a/src/decide/call_memory.cpp
+++ b/src/decide/gate/call_memory.cpp
@@ -1,4 +1,4 @@
-#include "decide/call_memory.h"
+#include "decide/gate/call_memory.h"
 
 namespace guavahaven::decide {
 
--- a/src/decide/call_queue.cpp
+++ b/src/decide/gate/call_queue.cpp
@@ -1,4 +1,4 @@
-#include "decide/call_queue.h"
+#include "decide/gate/call_queue.h"
 
 #include <tuple>
 
--- a/src/decide/call_queue.h
+++ b/src/decide/gate/call_queue.h
@@ -8,7 +8,7 @@
 #include <optional>
 #include <vector>
 
-#include "decide/held_call.h"
+#include "decide/gate/held_call.h"
 
 namespace guavahaven::decide {
 
--- a/src/decide/concurrency_limit.cpp
+++ b/src/decide/gate/concurrency_limit.cpp
@@ -1,4 +1,4 @@
-#include "decide/concurrency_limit.h"
+#include "decide/gate/concurrency_limit.h"
 
 #include <algorithm>
 
--- a/src/decide/gate.cpp
+++ b/src/decide/gate/gate.cpp
@@ -1,4 +1,4 @@
-#include "decide/gate.h"
+#include "decide/gate/gate.h"
 
 #include <algorithm>
 
@@ -309,7 +309,8 @@
     const auto before = static_cast<duration::rep>(waiting_.ahead_of(held.shed_, held.priority_) + 1);
     duration wait = limit_.mean_run() * before / std::max<duration::rep>(1, limit_.value());
     if (cold_)
-        wait = std::max<duration>(wait, pace_.closed_for(now) + std::chrono::seconds(1) * before / cold_rate());
+        wait =
+            std::max<duration>(wait, pace_.closed_for(now) + std::chrono::seconds(1) * before / cold_rate());
     if (held.late_)
         wait *= late_wait;
     return now + wait + limit_.mean_run(held.call_.route_) > held.useful_until_;
@@ -343,7 +344,8 @@
     limit_.started(last_run_, running_.size());
     pace_.began(now);
     held.started_ = now;
-    actions_.push_back(start_run{last_run_, held.call_.id_, held.call_.request_, held.deadline_ - now, backend_->instance_});
+    actions_.push_back(
+        start_run{last_run_, held.call_.id_, held.call_.request_, held.deadline_ - now, backend_->instance_});
     evidence_.run_started(last_run_, held.call_, *view_->configuration_, now);
     running_.emplace(last_run_, std::move(held));
 }
--- a/src/decide/gate.h
+++ b/src/decide/gate/gate.h
@@ -11,13 +11,13 @@
 #include <variant>
 #include <vector>
 
-#include "decide/call_limiter.h"
-#include "decide/call_memory.h"
-#include "decide/call_queue.h"
-#include "decide/cold_pace.h"
-#include "decide/concurrency_limit.h"
-#include "decide/evidence_book.h"
-#include "decide/key_home.h"
+#include "decide/gate/call_limiter.h"
+#include "decide/gate/call_memory.h"
+#include "decide/gate/call_queue.h"
+#include "decide/gate/cold_pace.h"
+#include "decide/gate/concurrency_limit.h"
+#include "decide/gate/key_home.h"
+#include "decide/moves/evidence_book.h"
 #include "decide/view.h"
 
 namespace guavahaven::decide {
--- a/src/decide/gate_keys.cpp
+++ b/src/decide/gate/gate_keys.cpp
@@ -3,7 +3,7 @@
 
 #include <algorithm>
 
-#include "decide/gate.h"
+#include "decide/gate/gate.h"
 
 namespace guavahaven::decide {
 
--- a/src/decide/gate_runs.cpp
+++ b/src/decide/gate/gate_runs.cpp
@@ -2,7 +2,7 @@
 // them, for the backend server and for the version under a move.
 
 #include "base/guards.h"
-#include "decide/gate.h"
+#include "decide/gate/gate.h"
 
 namespace guavahaven::decide {
 
--- a/src/decide/held_call.h
+++ b/src/decide/gate/held_call.h
@@ -7,7 +7,7 @@
 
 #include "decide/call.h"
 #include "decide/configuration.h"
-#include "decide/flow_window.h"
+#include "decide/gate/flow_window.h"
 
 namespace guavahaven::decide {
 
--- a/src/decide/key_home.cpp
+++ b/src/decide/gate/key_home.cpp
@@ -1,4 +1,4 @@
-#include "decide/key_home.h"
+#include "decide/gate/key_home.h"
 
 #include <algorithm>
 
--- a/src/decide/key_home.h
+++ b/src/decide/gate/key_home.h
@@ -9,8 +9,8 @@
 #include <variant>
 #include <vector>
 
-#include "decide/key_memory.h"
-#include "decide/suspects.h"
+#include "decide/gate/key_memory.h"
+#include "decide/gate/suspects.h"
 #include "decide/view.h"
 
 namespace guavahaven::decide {
--- a/src/decide/key_memory.cpp
+++ b/src/decide/gate/key_memory.cpp
@@ -1,4 +1,4 @@
-#include "decide/key_memory.h"
+#include "decide/gate/key_memory.h"
 
 namespace guavahaven::decide {
 
--- a/src/decide/key_memory.h
+++ b/src/decide/gate/key_memory.h
@@ -8,7 +8,7 @@
 #include <map>
 #include <string>
 
-#include "decide/held_call.h"
+#include "decide/gate/held_call.h"
 
 namespace guavahaven::decide {
 
--- a/src/decide/suspects.cpp
+++ b/src/decide/gate/suspects.cpp
@@ -1,4 +1,4 @@
-#include "decide/suspects.h"
+#include "decide/gate/suspects.h"
 
 #include "base/hash.h"
 
--- a/src/decide/gossip.h
+++ b/src/decide/gossip.h
@@ -7,7 +7,7 @@
 #include <variant>
 #include <vector>
 
-#include "decide/text_delta.h"
+#include "decide/configuration/text_delta.h"
 #include "decide/view.h"
 
 namespace guavahaven::decide {
--- a/src/decide/failure_detector.cpp
+++ b/src/decide/membership/failure_detector.cpp
@@ -1,4 +1,4 @@
-#include "decide/failure_detector.h"
+#include "decide/membership/failure_detector.h"
 
 namespace guavahaven::decide {
 
--- a/src/decide/membership.cpp
+++ b/src/decide/membership/membership.cpp
@@ -1,4 +1,4 @@
-#include "decide/membership.h"
+#include "decide/membership/membership.h"
 
 #include <algorithm>
 #include <tuple>
--- a/src/decide/seeds.cpp
+++ b/src/decide/membership/seeds.cpp
@@ -1,4 +1,4 @@
-#include "decide/seeds.h"
+#include "decide/membership/seeds.h"
 
 #include <algorithm>
 
--- a/src/decide/evidence_book.cpp
+++ b/src/decide/moves/evidence_book.cpp
@@ -1,4 +1,4 @@
-#include "decide/evidence_book.h"
+#include "decide/moves/evidence_book.h"
 
 #include <algorithm>
 
--- a/src/decide/evidence_book.h
+++ b/src/decide/moves/evidence_book.h
@@ -10,8 +10,8 @@
 #include <vector>
 
 #include "decide/call.h"
-#include "decide/concurrency_limit.h"
 #include "decide/configuration.h"
+#include "decide/gate/concurrency_limit.h"
 #include "decide/gossip.h"
 
 namespace guavahaven::decide {
--- a/src/decide/move_judge.cpp
+++ b/src/decide/moves/move_judge.cpp
@@ -1,4 +1,4 @@
-#include "decide/move_judge.h"
+#include "decide/moves/move_judge.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/decide/move_judge.h
+++ b/src/decide/moves/move_judge.h
@@ -11,8 +11,8 @@
 #include <tuple>
 #include <vector>
 
-#include "decide/evidence_book.h"
-#include "decide/version_test.h"
+#include "decide/moves/evidence_book.h"
+#include "decide/moves/version_test.h"
 
 namespace guavahaven::decide {
 
--- a/src/decide/move_tracker.cpp
+++ b/src/decide/moves/move_tracker.cpp
@@ -1,4 +1,4 @@
-#include "decide/move_tracker.h"
+#include "decide/moves/move_tracker.h"
 
 #include <algorithm>
 
--- a/src/decide/move_tracker.h
+++ b/src/decide/moves/move_tracker.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "decide/move_judge.h"
+#include "decide/moves/move_judge.h"
 
 namespace guavahaven::decide {
 
--- a/src/decide/version_test.cpp
+++ b/src/decide/moves/version_test.cpp
@@ -1,4 +1,4 @@
-#include "decide/version_test.h"
+#include "decide/moves/version_test.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/main/replay.cpp
+++ b/src/main/replay.cpp
@@ -6,8 +6,8 @@
 #include <iostream>
 #include <map>
 
-#include "decide/entry.h"
-#include "decide/gate.h"
+#include "decide/entry/entry.h"
+#include "decide/gate/gate.h"
 #include "operator/rules.h"
 #include "peer/layouts.h"
 
--- a/src/object_store/seed_keeper.h
+++ b/src/object_store/seed_keeper.h
@@ -9,7 +9,7 @@
 #include "base/call_budget.h"
 #include "base/random.h"
 #include "decide/control.h"
-#include "decide/seeds.h"
+#include "decide/membership/seeds.h"
 #include "object_store/store.h"
 
 namespace guavahaven::object_store {
--- a/src/operator/status.h
+++ b/src/operator/status.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "decide/control.h"
-#include "decide/gate.h"
+#include "decide/gate/gate.h"
 
 namespace guavahaven::operators {
 
--- a/src/peer/message.h
+++ b/src/peer/message.h
@@ -9,8 +9,8 @@
 #include <variant>
 
 #include "decide/call.h"
+#include "decide/gate/key_home.h"
 #include "decide/gossip.h"
-#include "decide/key_home.h"
 
 namespace guavahaven::peer {
 
--- a/tests/decide/distribution_test.cpp
+++ b/tests/decide/configuration/distribution_test.cpp
@@ -1,6 +1,6 @@
 #include <gtest/gtest.h>
 
-#include "decide/distribution.h"
+#include "decide/configuration/distribution.h"
 
 namespace guavahaven::decide {
 
--- a/tests/decide/text_delta_test.cpp
+++ b/tests/decide/configuration/text_delta_test.cpp
@@ -1,6 +1,6 @@
 #include <gtest/gtest.h>
 
-#include "decide/text_delta.h"
+#include "decide/configuration/text_delta.h"
 
 namespace guavahaven::decide {
 
--- a/tests/decide/data_center_return_test.cpp
+++ b/tests/decide/entry/data_center_return_test.cpp
@@ -1,6 +1,6 @@
 // The graded return of a data centre.
 
-#include "decide/data_center_return.h"
+#include "decide/entry/data_center_return.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/decide/entry_test.cpp
+++ b/tests/decide/entry/entry_test.cpp
@@ -1,4 +1,4 @@
-#include "decide/entry.h"
+#include "decide/entry/entry.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/decide/retry_budget_test.cpp
+++ b/tests/decide/entry/retry_budget_test.cpp
@@ -1,4 +1,4 @@
-#include "decide/retry_budget.h"
+#include "decide/entry/retry_budget.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/decide/call_limiter_test.cpp
+++ b/tests/decide/gate/call_limiter_test.cpp
@@ -2,7 +2,7 @@
 
 #include <gtest/gtest.h>
 
-#include "decide/call_limiter.h"
+#include "decide/gate/call_limiter.h"
 #include "operator/rules.h"
 
 namespace guavahaven {
--- a/tests/decide/key_home_test.cpp
+++ b/tests/decide/gate/key_home_test.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 
-#include "decide/key_home.h"
+#include "decide/gate/key_home.h"
 #include "support/gate_harness.h"
 
 namespace guavahaven {
--- a/tests/decide/suspects_test.cpp
+++ b/tests/decide/gate/suspects_test.cpp
@@ -2,7 +2,7 @@
 
 #include <gtest/gtest.h>
 
-#include "decide/suspects.h"
+#include "decide/gate/suspects.h"
 #include "support/gate_harness.h"
 
 namespace guavahaven {
--- a/tests/decide/failure_detector_test.cpp
+++ b/tests/decide/membership/failure_detector_test.cpp
@@ -1,6 +1,6 @@
 #include <gtest/gtest.h>
 
-#include "decide/failure_detector.h"
+#include "decide/membership/failure_detector.h"
 
 namespace guavahaven::decide {
 
--- a/tests/decide/membership_test.cpp
+++ b/tests/decide/membership/membership_test.cpp
@@ -3,7 +3,7 @@
 #include <queue>
 #include <set>
 
-#include "decide/membership.h"
+#include "decide/membership/membership.h"
 
 namespace guavahaven::decide {
 
--- a/tests/decide/seeds_test.cpp
+++ b/tests/decide/membership/seeds_test.cpp
@@ -1,6 +1,6 @@
 #include <gtest/gtest.h>
 
-#include "decide/seeds.h"
+#include "decide/membership/seeds.h"
 
 namespace guavahaven::decide {
 
--- a/tests/decide/evidence_book_test.cpp
+++ b/tests/decide/moves/evidence_book_test.cpp
@@ -1,6 +1,6 @@
 // What counts as evidence at a gate, and what does not.
 
-#include "decide/evidence_book.h"
+#include "decide/moves/evidence_book.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/decide/move_tracker_test.cpp
+++ b/tests/decide/moves/move_tracker_test.cpp
@@ -2,7 +2,7 @@
 // gates in two data centres, each with the old and the new version beside it,
 // and runs that are drawn by a seeded generator.
 
-#include "decide/move_tracker.h"
+#include "decide/moves/move_tracker.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/decide/short_move_test.cpp
+++ b/tests/decide/moves/short_move_test.cpp
@@ -2,8 +2,8 @@
 
 #include <gtest/gtest.h>
 
-#include "decide/balancer.h"
-#include "decide/move_tracker.h"
+#include "decide/entry/balancer.h"
+#include "decide/moves/move_tracker.h"
 
 namespace guavahaven::decide {
 
--- a/tests/decide/version_test_test.cpp
+++ b/tests/decide/moves/version_test_test.cpp
@@ -1,6 +1,6 @@
 // The sequential test: its error rate and what it is blind to by design.
 
-#include "decide/version_test.h"
+#include "decide/moves/version_test.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/support/gate_harness.h
+++ b/tests/support/gate_harness.h
@@ -8,7 +8,7 @@
 #include <optional>
 #include <string>
 
-#include "decide/gate.h"
+#include "decide/gate/gate.h"
 #include "operator/rules.h"
 
 namespace guavahaven::support {
--- a/tests/support/once_load.cpp
+++ b/tests/support/once_load.cpp
@@ -2,7 +2,7 @@
 
 #include <map>
 
-#include "decide/entry.h"
+#include "decide/entry/entry.h"
 
 namespace guavahaven::support {
 
--- a/tests/support/paced_load.cpp
+++ b/tests/support/paced_load.cpp
@@ -1,6 +1,6 @@
 #include "support/paced_load.h"
 
-#include "decide/entry.h"
+#include "decide/entry/entry.h"
 #include "support/load.h"
 
 namespace guavahaven::support {
