--- a/src/decide/gate/gate.cpp
+++ b/src/decide/gate/gate.cpp
@@ -350,66 +350,6 @@
     running_.emplace(last_run_, std::move(held));
 }
 
-void gate::take_cancel(const daemon_name& from, const cancel& c, time_point now)
-{
-    const call_key key{from, c.id_};
-    held_call* held = find_held(key);
-    if (!held)
-        return;
-    for (held_call::waiter& w : held->waiters_)
-        w.gone_ = w.gone_ || w.key_ == key;
-    if (const auto running = find_running(key); running != running_.end())
-        keep_window(running->first, running->second);
-    if (!held->abandoned())
-        return;
-    if (const auto running = find_running(key); running != running_.end()) {
-        // Work that must not run twice is left to end, so that its outcome stays known.
-        if (held->call_.once_)
-            return;
-        actions_.push_back(abort_run{running->first});
-        evidence_.run_cancelled(running->first, now);
-        limit_.ended(running->first);
-        return end_run(running, 0, now);
-    }
-    if (const std::optional<held_call> waiting = waiting_.take(key))
-        return withdraw(*waiting, now);
-    give_up_claim(held->waiters_.front().key_, code::not_run, 0, now);
-}
-
-void gate::take_progress(const daemon_name& from, const answer_taken& t)
-{
-    const call_key key{from, t.id_};
-    const auto at = find_running(key);
-    if (at == running_.end())
-        return;
-    for (held_call::waiter& w : at->second.waiters_)
-        if (w.key_ == key)
-            w.taken_ = std::max(w.taken_, t.bytes_);
-    keep_window(at->first, at->second);
-}
-
-void gate::keep_window(run_id run, held_call& held)
-{
-    held.window_.take(held.taken_by_all());
-    if (held.window_.turned())
-        actions_.push_back(pause_run{run, held.window_.paused()});
-}
-
-void gate::take_fence(const daemon_name& from, const fence& f, time_point now)
-{
-    const auto say = [&](fate known) { send(from, fence_verdict{f.id_, started_, known}); };
-    const call_key key{from, f.id_};
-    if (f.gate_ != started_ && guarded(guard::unknown_outcome))
-        return say(fate::unknown);
-    if (const auto running = find_running(key); running != running_.end())
-        return say(fate::running);
-    take_cancel(from, cancel{f.id_}, now);
-    const std::optional<fate> known = calls_.find(key);
-    if (!known)
-        calls_.note_never_runs(key, now);
-    say(known.value_or(fate::never_ran));
-}
-
 void gate::on(const gate_view_changed& e, time_point now)
 {
     const bool was_out = out();
@@ -438,33 +378,6 @@
     suspects_.forget(now);
 }
 
-std::map<run_id, held_call>::iterator gate::find_running(const call_key& key)
-{
-    return std::find_if(running_.begin(), running_.end(),
-                        [&](const auto& r) { return r.second.waited_for_by(key); });
-}
-
-held_call* gate::find_held(const call_key& key)
-{
-    if (const auto running = find_running(key); running != running_.end())
-        return &running->second;
-    for (auto& [first, claiming] : claiming_)
-        if (claiming.held_.waited_for_by(key))
-            return &claiming.held_;
-    return waiting_.find(key);
-}
-
-held_call* gate::find_held_identity(const std::string& identity)
-{
-    for (auto& [run, held] : running_)
-        if (held.call_.once_ && scoped_identity(held.call_) == identity)
-            return &held;
-    for (auto& [first, claiming] : claiming_)
-        if (scoped_identity(claiming.held_.call_) == identity)
-            return &claiming.held_;
-    return waiting_.find_identity(identity);
-}
-
 void gate::refuse(const held_call& held, code why, time_point now, int earlier_status)
 {
     withdraw(held, now);
