A version that may be worse under load is not done

A version that is bad under load failed 12 of 54 runs in its second on trial, the old one 2 of 35; that is far from a proof at the error rate of a whole move (e-value below 10, and 9.6 is the logarithm of what a withdrawal needs), so after three seconds at the first share, where it was sound, it was done and got everything. Ruled out: lost reports of evidence, the daemon that stood still (it serves another service), the judges. Change: the seconds on trial are weighed by themselves, over all routes; from an e-value of 2 on, or when a judge has seen fewer than ten runs of it, the move stays at its last share and is taken back at its deadline.

--- a/src/decide/moves/move_judge.cpp
+++ b/src/decide/moves/move_judge.cpp
@@ -11,7 +11,10 @@
 // Chance that a version that is no worse than the old one is withdrawn, over a
 // whole move, all its tests and all its judges.
 constexpr double false_withdrawals = 0.001;
-constexpr double doubt = 10;                 // e-value from which a move waits
+constexpr double doubt = 10;        // e-value from which a move waits
+constexpr double trial_doubt = 2;   // e-value of the seconds on trial alone
+constexpr double trial_seconds = 2; // that a trial of one second touches
+constexpr std::uint64_t trial_runs_least = 10;
 constexpr double slow_share_of_old = 0.05;   // at most, beyond the level that is tested
 constexpr std::uint64_t old_runs_least = 10; // before a slow level is chosen
 constexpr double fading = 0.8;               // of the recent runs, each second
@@ -43,7 +46,8 @@
 }
 
 move_judge::move_judge(version_name version, std::size_t routes, double seconds)
-    : version_(std::move(version)), routes_(std::max<std::size_t>(1, routes)), seconds_(seconds)
+    : version_(std::move(version)), routes_(std::max<std::size_t>(1, routes)), seconds_(seconds),
+      trial_failures_(trial_seconds), trial_slowness_(trial_seconds)
 {
 }
 
@@ -112,13 +116,25 @@
         const auto closed = seconds_open_.extract(seconds_open_.begin());
         recent_new_ *= fading;
         recent_old_ *= fading;
-        for (const auto& [key, by_data_center] : closed.mapped())
-            test_route(key, by_data_center);
+        const bool on_trial = closed.key() >= trial_first_ && closed.key() <= trial_last_;
+        std::vector<comparison> failures;
+        std::vector<comparison> slowness;
+        for (const auto& [key, by_data_center] : closed.mapped()) {
+            const comparisons c = test_route(key, by_data_center);
+            failures.insert(failures.end(), c.failures_.begin(), c.failures_.end());
+            slowness.insert(slowness.end(), c.slowness_.begin(), c.slowness_.end());
+        }
+        if (!on_trial)
+            continue;
+        for (const comparison& c : failures)
+            trial_runs_ += c.new_ran_;
+        trial_failures_.add(failures);
+        trial_slowness_.add(slowness);
     }
     tested_ = std::max(tested_, second);
 }
 
-void move_judge::test_route(const route_key& key, const strata& by_data_center)
+move_judge::comparisons move_judge::test_route(const route_key& key, const strata& by_data_center)
 {
     const auto at =
         tests_.try_emplace(key, route_tests{version_test(seconds_), version_test(seconds_), {}}).first;
@@ -159,8 +175,26 @@
             all.push_back(c);
         return all;
     };
-    t.failures_.add(values(failures));
-    t.slowness_.add(values(slowness));
+    const comparisons c{values(failures), values(slowness)};
+    t.failures_.add(c.failures_);
+    t.slowness_.add(c.slowness_);
+    return c;
+}
+
+void move_judge::set_trial(std::uint64_t first, std::uint64_t last)
+{
+    trial_first_ = first;
+    trial_last_ = last;
+}
+
+std::string move_judge::trial_objection() const
+{
+    if (trial_runs_ < trial_runs_least)
+        return "too little was seen of its trial under load";
+    const double limit = std::log(trial_doubt);
+    if (trial_failures_.log_e_value() >= limit || trial_slowness_.log_e_value() >= limit)
+        return "it may be worse under load";
+    return {};
 }
 
 double move_judge::log_threshold() const
--- a/src/decide/moves/move_judge.h
+++ b/src/decide/moves/move_judge.h
@@ -55,6 +55,14 @@
     // True while a badness is likely but not yet shown.
     bool doubtful() const;
 
+    // The wall-clock seconds in which the version is tried under load, first and
+    // last; to be stated before they are tested.
+    void set_trial(std::uint64_t first, std::uint64_t last);
+    // Why the trial does not speak for the version; empty if it does. A version
+    // that is bad under load only shows it nowhere else, so that less than a
+    // proof of badness counts.
+    std::string trial_objection() const;
+
     std::map<route_key, run_totals> totals() const;
     // Runs at once that the gates of the new version admit now.
     std::uint32_t capacity() const;
@@ -83,13 +91,18 @@
         bool at_new_ = false;
         double share_ = 0; // of the new version in the service when it happened
     };
+    // Of one second and route, by data centre.
+    struct comparisons {
+        std::vector<comparison> failures_;
+        std::vector<comparison> slowness_;
+    };
     using gate_key = std::tuple<daemon_name, incarnation, version_name>;
     using strata = std::map<data_center_name, stratum>;
 
     static std::optional<side> growth(const route_counts& before, const route_counts& after);
     void take_growth(const evidence& before, const evidence& after);
     void take_deaths(const evidence& e);
-    void test_route(const route_key& key, const strata& by_data_center);
+    comparisons test_route(const route_key& key, const strata& by_data_center);
     double share_of_new() const;
     bool recent(const evidence& e) const;
     double log_death_e_value() const;
@@ -104,6 +117,11 @@
     std::map<std::uint64_t, std::map<route_key, strata>> seconds_open_;
     std::map<route_key, route_tests> tests_;
     std::vector<death> deaths_;
+    std::uint64_t trial_first_ = 0; // 0: none
+    std::uint64_t trial_last_ = 0;
+    std::uint64_t trial_runs_ = 0; // of the new version
+    version_test trial_failures_;
+    version_test trial_slowness_;
     double recent_new_ = 0; // runs, fading
     double recent_old_ = 0;
 };
--- a/src/decide/moves/move_tracker.cpp
+++ b/src/decide/moves/move_tracker.cpp
@@ -22,6 +22,7 @@
 constexpr duration platform_patience = std::chrono::seconds(5);
 constexpr std::size_t withdrawals_kept = 64;
 constexpr std::uint32_t short_stages = 3;
+constexpr std::uint64_t second_us = 1'000'000;
 constexpr duration trial_length = std::chrono::milliseconds(1000);
 constexpr duration trial_lateness = std::chrono::milliseconds(700); // of its end's news
 
@@ -187,7 +188,9 @@
     if (fact.withdrawn_ || fact.done_)
         return false;
     judged& j = judged_of(c, rule, fact);
-    j.judge_.test_until(from_wall(wall - evidence_delay) / 1'000'000);
+    if (const auto trial = trial_seconds(rule, fact))
+        j.judge_.set_trial(trial->first, trial->second);
+    j.judge_.test_until(from_wall(wall - evidence_delay) / second_us);
     if (const auto why = j.judge_.badness()) {
         fact.withdrawn_ = true;
         fact.reason_ = *why;
@@ -207,6 +210,17 @@
     return true;
 }
 
+// The wall-clock seconds that the trial of a short move touches; none before it began.
+std::optional<std::pair<std::uint64_t, std::uint64_t>> move_tracker::trial_seconds(const move_rule& rule,
+                                                                                   const move_fact& fact)
+{
+    if (stage_count(rule, fact) != short_stages || fact.stage_ == 0)
+        return {};
+    const auto length = static_cast<std::uint64_t>(trial_length.count());
+    const std::uint64_t began = fact.stage_ == 1 ? fact.since_ : fact.since_ - length;
+    return std::pair(began / second_us, (began + length) / second_us);
+}
+
 // A trial ends by time alone; what it has shown is weighed afterwards.
 std::string move_tracker::trial_hindrance(const move_fact& fact, wall_time wall)
 {
@@ -237,6 +251,8 @@
     const move_schedule schedule{to_wall(fact.began_), rule.deadline_, stages};
     const wall_time since = to_wall(fact.since_);
     if (fact.stage_ + 1 == stages) {
+        if (stages == short_stages && !j.judge_.trial_objection().empty())
+            return j.judge_.trial_objection();
         const auto done_at = schedule.done_at(since);
         if (!done_at)
             return "too little time is left to watch it";
--- a/src/decide/moves/move_tracker.h
+++ b/src/decide/moves/move_tracker.h
@@ -72,6 +72,8 @@
     bool may_begin(const move_rule& rule, wall_time wall);
     judged& judged_of(const configuration& c, const move_rule& rule, const move_fact& fact);
     bool judge(const configuration& c, const move_rule& rule, move_fact& fact, wall_time wall);
+    static std::optional<std::pair<std::uint64_t, std::uint64_t>> trial_seconds(const move_rule& rule,
+                                                                                const move_fact& fact);
     // What the next stage waits for; empty if nothing.
     static std::string trial_hindrance(const move_fact& fact, wall_time wall);
     static void end_overdue_trial(const move_rule& rule, std::vector<move_fact>& all, wall_time wall);
--- /dev/null
+++ b/tests/decide/moves/trial_test.cpp
@@ -0,0 +1,68 @@
+// What a second of trial under load says of a version.
+
+#include <gtest/gtest.h>
+
+#include "decide/moves/move_judge.h"
+
+namespace guavahaven::decide {
+
+namespace {
+
+const version_name v2("v2");
+constexpr std::uint64_t trial_second = 1'000;
+
+// Runs and failures of one gate in the second of the trial.
+struct gate_counts {
+    const char* version_;
+    const char* data_center_;
+    std::uint64_t ran_;
+    std::uint64_t failed_;
+};
+
+move_judge judge_of(const std::vector<gate_counts>& gates)
+{
+    move_judge judge(v2, 1, 12);
+    judge.set_trial(trial_second, trial_second);
+    for (const std::uint64_t second : {trial_second - 1, trial_second}) {
+        for (const gate_counts& g : gates) {
+            evidence e;
+            e.gate_ = daemon_name(std::string(g.data_center_) + g.version_);
+            e.incarnation_ = incarnation(1);
+            e.version_ = version_name(g.version_);
+            e.data_center_ = data_center_name(g.data_center_);
+            e.second_ = second;
+            const bool after = second == trial_second;
+            e.routes_.push_back(
+                {"* board", class_name("lookup"), after ? g.ran_ : 0, after ? g.failed_ : 0, {0, 0, 0, 0}});
+            judge.take(e);
+        }
+    }
+    judge.test_until(trial_second + 1);
+    return judge;
+}
+
+} // namespace
+
+TEST(trial_under_load, holds_a_version_that_fails_more_there_though_it_is_no_proof)
+{
+    // Given the counts of a played day, on which a version that was bad under load was done
+    const move_judge judge =
+        judge_of({{"v2", "a", 23, 8}, {"v1", "a", 14, 1}, {"v2", "b", 24, 3}, {"v1", "b", 15, 0}});
+    EXPECT_FALSE(judge.badness());
+    EXPECT_EQ(judge.trial_objection(), "it may be worse under load");
+}
+
+TEST(trial_under_load, speaks_for_a_version_that_fails_as_rarely_as_the_old_one)
+{
+    const move_judge judge =
+        judge_of({{"v2", "a", 23, 1}, {"v1", "a", 14, 1}, {"v2", "b", 24, 0}, {"v1", "b", 15, 0}});
+    EXPECT_EQ(judge.trial_objection(), "");
+}
+
+TEST(trial_under_load, says_nothing_to_a_judge_that_has_not_seen_it)
+{
+    EXPECT_EQ(judge_of({{"v2", "a", 3, 0}, {"v1", "a", 14, 0}}).trial_objection(),
+              "too little was seen of its trial under load");
+}
+
+} // namespace guavahaven::decide
