A fence of one of two attempts that wait for the same run is not 'never ran'

Ruled out: restarted replicas (their grants don't count), a lost 'never ran' outcome (the record of the later attempt stays), a second process at the same address (its fence is answered 'unknown').

Tests: non_idempotent_request_runs_at_most_once.when_the_first_of_two_attempts_is_fenced and .when_it_is_fenced_while_a_repeat_claims_its_key, both seen to fail before.

--- a/src/decide/call.h
+++ b/src/decide/call.h
@@ -133,7 +133,7 @@
 // State of a fenced call at its gate.
 enum class run_status : std::uint8_t {
     never_ran, // and never will
-    running,   // its answer will follow on this connection
+    running,   // or held for another attempt of the same request; its answer follows on this connection
     ran,       // but its answer is no longer available
     unknown,   // this gate was started later, or its record of the call has been dropped
 };
--- a/src/decide/gate/gate_attempts.cpp
+++ b/src/decide/gate/gate_attempts.cpp
@@ -59,6 +59,9 @@
         return reply(run_status::unknown);
     if (const auto running = find_running(key); running != running_.end())
         return reply(run_status::running);
+    // A repeat of the request waits for the same run, so the run can still take place.
+    if (const held_call* held = find_held(key); held && held->has_other_waiters(key))
+        return reply(run_status::running);
     handle_cancel(from, cancel{f.id_}, now);
     const std::optional<run_status> known = finished_attempts_.find(key);
     if (!known)
--- a/src/decide/gate/held_call.h
+++ b/src/decide/gate/held_call.h
@@ -48,6 +48,12 @@
     {
         return std::any_of(waiters_.begin(), waiters_.end(), [&](const waiter& w) { return w.key_ == key; });
     }
+    // True if an attempt other than this one waits and has not been cancelled.
+    bool has_other_waiters(const call_key& key) const
+    {
+        return std::any_of(waiters_.begin(), waiters_.end(),
+                           [&](const waiter& w) { return w.key_ != key && !w.cancelled_; });
+    }
     // Bytes of the answer that every waiter has consumed, cancelled ones aside.
     std::uint64_t consumed_by_all() const
     {
--- a/tests/decide/gate/gate_test.cpp
+++ b/tests/decide/gate/gate_test.cpp
@@ -86,6 +86,50 @@
     EXPECT_EQ(g.runs_.size(), 2U);
 }
 
+// A repeat of the key waits for the run of the first attempt, whose entry then fences it. If the fence said that
+// the first attempt never ran, its entry could run the request elsewhere while the repeat has it run here: the
+// replicas of the key grant it to the first attempt's request.
+TEST(non_idempotent_request_runs_at_most_once, when_the_first_of_two_attempts_is_fenced)
+{
+    gate_harness g;
+    g.written_at_ = gate_harness::started + 1; // nothing ran before this gate
+    g.set_members({g.self_.str()});
+
+    // Given a request that waits for a slot, and a repeat of its key through another entry
+    g.send(g.make(1));
+    g.send(g.make(2));
+    const decide::call first = g.make_keyed(3, "placement-7");
+    g.send(first);
+    const decide::call repeat = g.make_keyed(4, "placement-7");
+    g.send(repeat, "other entry");
+    ASSERT_EQ(g.runs_.size(), 2U);
+
+    // When the entry of the first attempt fences it
+    // Then it is not told that the request never runs, and still waits for the answer
+    EXPECT_EQ(g.fence(first), run_status::running);
+    g.answer(g.runs_[0]);
+    ASSERT_EQ(g.runs_.size(), 3U);
+    g.answer(g.runs_[2]);
+    EXPECT_TRUE(g.last<decide::answer>("entry"));
+    EXPECT_TRUE(g.last<decide::answer>("other entry"));
+    EXPECT_EQ(g.fence(first), run_status::ran);
+}
+
+// The same while the key is still being claimed.
+TEST(non_idempotent_request_runs_at_most_once, when_it_is_fenced_while_a_repeat_claims_its_key)
+{
+    gate_harness g({"10.0.0.2:1", "10.0.0.3:1"});
+    const decide::call first = g.make_keyed(1, "placement-8");
+    g.send(first);
+    g.send(g.make_keyed(2, "placement-8"), "other entry");
+    ASSERT_TRUE(g.runs_.empty());
+
+    EXPECT_EQ(g.fence(first), run_status::running);
+    // Once the entry of the repeat has fenced as well, nobody is left to run it for
+    const decide::call repeat = g.make_keyed(2, "placement-8");
+    EXPECT_EQ(g.fence(repeat, "other entry"), run_status::running);
+}
+
 TEST(non_idempotent_request_runs_at_most_once, after_its_connection_broke)
 {
     gate_harness g;
