The gate asks for large bodies in parts

Look-ups with 250 ms behind them came too late, and the deposits that needed them ended in 500.

Now a body above 8 KiB is sent when the gate asks for it, two parts of 8 KiB at a time, and only 20 ms of the link's bandwidth are asked for at once. A call whose body can't come in time is refused before any of it is sent.

Ruled out: processor time; the concurrency limits (most gates had 2 to 4 of 6 slots in use); gates set apart for uploads (their links would be full).

Wire protocol 5. New setting daemon.link_mbps (default 1000).

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -66,7 +66,8 @@
                 [this](const peer::event& e) { handle_peer_event(e); }),
           backend_(
               loop_, metrics_, {settings_.backend_, settings_.announcement_timeout_, parts.backend_},
-              decide::gate(self_, started_, settings_.data_center_, clock_.now()),
+              decide::gate(self_, started_, settings_.data_center_, clock_.now(),
+                           settings_.link_bytes_per_second_),
               {[this](const daemon_name& to, decide::gate_to_entry m) { route_to_entry(to, std::move(m)); },
                [this](const daemon_name& to, const decide::gate_to_gate& m, bool fresh_connection) {
                    mesh_.send(to, m, fresh_connection);
--- a/src/decide/call.h
+++ b/src/decide/call.h
@@ -61,11 +61,32 @@
     std::uint64_t sent_ms_ = 0; // wall clock of the entry's machine when it was sent to another daemon
     duration waited_{};         // estimated time that its caller has spent on earlier tries
     std::uint32_t depth_ = 0;   // nested calls above it
+    std::uint64_t body_bytes_ =
+        0; // of the request's body; if the body here is shorter, the gate asks for it in parts
     http::request request_;
 
     friend bool operator==(const call&, const call&) = default;
 };
 
+// A longer body is not sent with the call, unless the request has a caller's key.
+inline constexpr std::size_t max_inline_body_bytes = 8 * 1024;
+
+// gate -> entry: send this part of the call's body.
+struct body_grant {
+    call_id id_;
+    std::uint64_t offset_ = 0;
+    std::uint64_t bytes_ = 0;
+    friend bool operator==(const body_grant&, const body_grant&) = default;
+};
+
+// entry -> gate: a part of the call's body, as granted.
+struct body_part {
+    call_id id_;
+    std::uint64_t offset_ = 0;
+    std::string bytes_;
+    friend bool operator==(const body_part&, const body_part&) = default;
+};
+
 // gate -> entry: acknowledges that the call has arrived.
 struct call_ack {
     call_id id_;
@@ -146,7 +167,8 @@
     friend bool operator==(const fence_reply&, const fence_reply&) = default;
 };
 
-using entry_to_gate = std::variant<call, cancel, fence, answer_consumed>;
-using gate_to_entry = std::variant<call_ack, answer, answer_part, refusal, run_failure, fence_reply>;
+using entry_to_gate = std::variant<call, cancel, fence, answer_consumed, body_part>;
+using gate_to_entry =
+    std::variant<call_ack, answer, answer_part, refusal, run_failure, fence_reply, body_grant>;
 
 } // namespace guavahaven::decide
--- a/src/decide/entry/entry.cpp
+++ b/src/decide/entry/entry.cpp
@@ -237,7 +237,20 @@
     balancer_.began(gate);
     attempts_[r.call_.id_] = r.exchange_;
     schedule(r, std::min(r.deadline_, now + acknowledgement_timeout));
-    actions_.push_back(send_to_gate{gate, r.call_, false});
+    actions_.push_back(send_to_gate{gate, outgoing_call(r), false});
+}
+
+// The body of a keyed request stays with the call, since a gate compares it with that of an earlier request.
+call entry::outgoing_call(request_state& r) const
+{
+    http::request& request = r.call_.request_;
+    r.call_.body_bytes_ = request.body_.size();
+    if (r.gate_ == self_ || r.call_.keyed_ || request.body_.size() <= max_inline_body_bytes)
+        return r.call_;
+    std::string body = std::exchange(request.body_, {});
+    call without_body = r.call_;
+    request.body_ = std::move(body);
+    return without_body;
 }
 
 void entry::close_attempt(request_state& r, attempt_end how, time_point now)
--- a/src/decide/entry/entry.h
+++ b/src/decide/entry/entry.h
@@ -153,6 +153,7 @@
     void receive(request_state& r, const refusal& m, time_point now);
     void receive(request_state& r, const run_failure& m, time_point now);
     void receive(request_state& r, const fence_reply& m, time_point now);
+    void receive(request_state& r, const body_grant& m, time_point now);
 
     service_name choose_service(const route_rule& route);
     version_name choose_version(const service_name& service);
@@ -164,6 +165,8 @@
     std::optional<daemon_name> choose_gate(request_state& r, time_point now);
     void attempt(request_state& r, time_point now, code last_failure);
     void send_attempt(request_state& r, const daemon_name& gate, time_point now);
+    // The call as it is sent: without a body that the gate asks for in parts.
+    call outgoing_call(request_state& r) const;
     void close_attempt(request_state& r, attempt_end how, time_point now);
     // After an attempt that has surely not run.
     void try_elsewhere(request_state& r, time_point now, code why);
--- a/src/decide/entry/entry_answers.cpp
+++ b/src/decide/entry/entry_answers.cpp
@@ -29,6 +29,15 @@
     schedule(r, r.deadline_);
 }
 
+void entry::receive(request_state& r, const body_grant& m, time_point)
+{
+    const std::string& body = r.call_.request_.body_;
+    if (m.offset_ >= body.size() || m.bytes_ > body.size())
+        return;
+    actions_.push_back(
+        send_to_gate{r.gate_, body_part{m.id_, m.offset_, body.substr(m.offset_, m.bytes_)}, false});
+}
+
 void entry::receive(request_state& r, const answer& m, time_point now)
 {
     balancer_.reported(r.gate_, m.load_, now);
--- a/src/decide/gate/gate.cpp
+++ b/src/decide/gate/gate.cpp
@@ -18,9 +18,10 @@
 
 } // namespace
 
-gate::gate(daemon_name self, incarnation started, data_center_name data_center, time_point now)
+gate::gate(daemon_name self, incarnation started, data_center_name data_center, time_point now,
+           double link_bytes_per_second)
     : self_(std::move(self)), started_(started), data_center_(std::move(data_center)), created_at_(now),
-      key_replica_(now)
+      bodies_(link_bytes_per_second), key_replica_(now)
 {
 }
 
@@ -32,7 +33,7 @@
 
 bool gate::busy() const
 {
-    return !running_.empty() || !waiting_.empty() || !claiming_.empty();
+    return !running_.empty() || !waiting_.empty() || !claiming_.empty() || !bodies_.empty();
 }
 
 bool gate::serving() const
@@ -42,7 +43,8 @@
 
 load_report gate::load() const
 {
-    return {static_cast<std::uint32_t>(running_.size()), static_cast<std::uint32_t>(waiting_.size()),
+    return {static_cast<std::uint32_t>(running_.size()),
+            static_cast<std::uint32_t>(waiting_.size() + bodies_.size()),
             cold_ ? std::min(limit_.value(), cold_limit()) : limit_.value()};
 }
 
@@ -98,10 +100,8 @@
     if (fresh)
         divide_limits(now);
     backend_start_ = e.start_;
-    if (!e.draining_)
-        return;
-    for (const held_call& held : waiting_.extract_all())
-        refuse(held, code::draining, now);
+    if (e.draining_)
+        refuse_waiting(code::draining, now);
 }
 
 void gate::on(const backend_lost&, time_point now)
@@ -112,15 +112,13 @@
 void gate::clear_backend(time_point now)
 {
     backend_.reset();
-    for (const held_call& held : waiting_.extract_all())
-        refuse(held, code::backend_unreachable, now);
+    refuse_waiting(code::backend_unreachable, now);
 }
 
 void gate::on(const stop_requested&, time_point now)
 {
     stopping_ = true;
-    for (const held_call& held : waiting_.extract_all())
-        refuse(held, code::draining, now);
+    refuse_waiting(code::draining, now);
 }
 
 void gate::on(const call_message& e, time_point now)
@@ -128,6 +126,7 @@
     std::visit(guavahaven::overloaded{
                    [&](const call& c) { handle_call(e.from_, c, now); },
                    [&](const cancel& c) { handle_cancel(e.from_, c, now); },
+                   [&](const body_part& p) { handle_body_part(e.from_, p, now); },
                    [&](const answer_consumed& t) { handle_answer_progress(e.from_, t); },
                    [&](const fence& f) { handle_fence(e.from_, f, now); },
                },
@@ -196,7 +195,8 @@
 
     held_call held = make_held(key, c, now);
     held.call_.version_ = backend_->version_;
-    if (too_late(held, now))
+    const bool in_parts = c.body_bytes_ > c.request_.body_.size();
+    if (too_late(held, now) || (in_parts && !bodies_.has_room(c.body_bytes_)))
         return refuse(key, code::overloaded, now);
     const auto count = [this](const std::optional<class_name>& of) { return held_count(of); };
     if (!limiter_.admit(c.class_, count, now))
@@ -204,11 +204,36 @@
     if (c.once_ && !record_identity(held) && guard_enabled(guard::once_memory))
         return refuse(key, code::overloaded, now);
     send(from, call_ack{c.id_});
-    if (c.once_ && c.keyed_ && guard_enabled(guard::once_memory))
+    if (!in_parts)
+        return claim_or_enqueue(std::move(held), now);
+    bodies_.add(std::move(held), now);
+    grant_body_parts(now);
+}
+
+void gate::claim_or_enqueue(held_call held, time_point now)
+{
+    if (held.call_.once_ && held.call_.keyed_ && guard_enabled(guard::once_memory))
         return claim_key(std::move(held), now);
     enqueue(std::move(held), now);
 }
 
+void gate::grant_body_parts(time_point now)
+{
+    for (const body_receiver::grant& g : bodies_.next_grants(now))
+        send(g.entry_, g.part_);
+}
+
+void gate::handle_body_part(const daemon_name& from, const body_part& p, time_point now)
+{
+    std::optional<held_call> whole = bodies_.receive({from, p.id_}, p.offset_, p.bytes_, now);
+    grant_body_parts(now);
+    if (!whole)
+        return;
+    if (too_late(*whole, now))
+        return refuse(*whole, code::overloaded, now);
+    claim_or_enqueue(std::move(*whole), now);
+}
+
 void gate::divide_limits(time_point now)
 {
     if (view_ && backend_)
@@ -218,12 +243,12 @@
 std::size_t gate::held_count(const std::optional<class_name>& of) const
 {
     if (!of)
-        return claiming_.size() + waiting_.size() + running_.size();
+        return bodies_.size() + claiming_.size() + waiting_.size() + running_.size();
     const auto claims = std::count_if(claiming_.begin(), claiming_.end(),
                                       [&](const auto& c) { return c.second.held_.call_.class_ == *of; });
     const auto runs = std::count_if(running_.begin(), running_.end(),
                                     [&](const auto& r) { return r.second.call_.class_ == *of; });
-    return static_cast<std::size_t>(claims + runs) + waiting_.count_of(*of);
+    return static_cast<std::size_t>(claims + runs) + waiting_.count_of(*of) + bodies_.count_of(*of);
 }
 
 bool gate::handle_known_attempt(const call_key& key)
@@ -305,7 +330,11 @@
 
 bool gate::too_late(const held_call& held, time_point now) const
 {
-    if (now >= held.deadline_)
+    const std::uint64_t missing_bytes =
+        held.call_.body_bytes_ -
+        std::min<std::uint64_t>(held.call_.body_bytes_, held.call_.request_.body_.size());
+    const duration transfer = missing_bytes > 0 ? bodies_.transfer_time(missing_bytes) : duration::zero();
+    if (now + transfer >= held.deadline_)
         return true;
     if (held.keep_ || (waiting_.empty() && has_room(now)))
         return false;
@@ -372,6 +401,9 @@
     cold_ = cold_limiter_.cold(now) && backend_ && backend_->cold_left_;
     for (const held_call& held : waiting_.extract_expired(now + refusal_lead_time))
         refuse(held, code::deadline_exceeded, now);
+    for (const held_call& held : bodies_.extract_expired(now + refusal_lead_time))
+        refuse(held, code::deadline_exceeded, now);
+    grant_body_parts(now);
     check_claim_timeouts(now);
     resend_outcomes(now);
     start_waiting(now);
@@ -381,6 +413,14 @@
     crash_suspects_.forget_expired(now);
 }
 
+void gate::refuse_waiting(code why, time_point now)
+{
+    for (const held_call& held : waiting_.extract_all())
+        refuse(held, why, now);
+    for (const held_call& held : bodies_.extract_all())
+        refuse(held, why, now);
+}
+
 void gate::refuse(const held_call& held, code why, time_point now, int earlier_status)
 {
     withdraw(held, now);
--- a/src/decide/gate/gate.h
+++ b/src/decide/gate/gate.h
@@ -11,6 +11,7 @@
 #include <variant>
 #include <vector>
 
+#include "decide/gate/body_receiver.h"
 #include "decide/gate/call_limiter.h"
 #include "decide/gate/call_memory.h"
 #include "decide/gate/call_queue.h"
@@ -143,11 +144,12 @@
 class gate {
 public:
     // 'started' distinguishes this process from earlier ones at the same address.
-    gate(daemon_name self, incarnation started, data_center_name data_center, time_point now);
+    gate(daemon_name self, incarnation started, data_center_name data_center, time_point now,
+         double link_bytes_per_second = default_link_bytes_per_second);
 
     gate_actions handle(const gate_event& event, time_point now);
 
-    // True while any call is claiming its key, waiting or running.
+    // True while any call is receiving its body, claiming its key, waiting or running.
     bool busy() const;
     load_report load() const;
     // Cumulative statistics of the runs of a version under a move (rollout), by which the move is judged.
@@ -188,6 +190,7 @@
 
     void handle_call(const daemon_name& from, const call& c, time_point now);
     void handle_cancel(const daemon_name& from, const cancel& c, time_point now);
+    void handle_body_part(const daemon_name& from, const body_part& p, time_point now);
     void handle_answer_progress(const daemon_name& from, const answer_consumed& t);
     // Updates flow control of a run's response, and pauses or resumes reading it.
     void update_window(run_id run, held_call& held);
@@ -217,7 +220,7 @@
     // The reason to refuse a call; code::ok if it is admitted.
     code check_admission(const call& c) const;
     void divide_limits(time_point now);
-    // Calls that are claiming, waiting or running here, of one class or of all.
+    // Calls that are receiving, claiming, waiting or running here, of one class or of all.
     std::size_t held_count(const std::optional<class_name>& of) const;
     held_call make_held(const call_key& key, const call& c, time_point now) const;
     // Records the request's identity before its run. False if the records are full.
@@ -242,6 +245,10 @@
     // The reason to refuse a request suspected of crashing backend servers; code::ok if there is none.
     code check_suspect(const call& c) const;
 
+    // Asks the entries for the next parts of the bodies that are being received.
+    void grant_body_parts(time_point now);
+    // Claims the key of a call that has arrived whole, or has it wait for a slot.
+    void claim_or_enqueue(held_call held, time_point now);
     void enqueue(held_call held, time_point now);
     // True if the call would probably not finish in time, so that it is refused early.
     bool too_late(const held_call& held, time_point now) const;
@@ -253,6 +260,8 @@
     std::map<run_id, held_call>::iterator find_running(const call_key& key);
     held_call* find_held_identity(const std::string& identity);
 
+    // Refuses the calls that wait for a slot or for their body.
+    void refuse_waiting(code why, time_point now);
     // Refuses a call that has not run and never will.
     void refuse(const held_call& held, code why, time_point now, int earlier_status = 0);
     void refuse(const call_key& key, code why, time_point now, int earlier_status = 0);
@@ -276,6 +285,7 @@
     call_limiter limiter_;
     run_id last_run_;
     std::map<run_id, held_call> running_;
+    body_receiver bodies_;
     call_queue waiting_;
     std::map<call_key, claiming_call> claiming_;
     std::vector<unacknowledged_outcome> unacknowledged_;
--- a/src/decide/gate/gate_attempts.cpp
+++ b/src/decide/gate/gate_attempts.cpp
@@ -29,6 +29,8 @@
     }
     if (const std::optional<held_call> waiting = waiting_.extract(key))
         return withdraw(*waiting, now);
+    if (const std::optional<held_call> incomplete = bodies_.extract(key))
+        return withdraw(*incomplete, now);
     give_up_claim(held->waiters_.front().key_, code::not_run, 0, now);
 }
 
@@ -82,6 +84,8 @@
     for (auto& [first, claiming] : claiming_)
         if (claiming.held_.has_waiter(key))
             return &claiming.held_;
+    if (held_call* incomplete = bodies_.find(key))
+        return incomplete;
     return waiting_.find(key);
 }
 
@@ -93,6 +97,8 @@
     for (auto& [first, claiming] : claiming_)
         if (scoped_identity(claiming.held_.call_) == identity)
             return &claiming.held_;
+    if (held_call* incomplete = bodies_.find_identity(identity))
+        return incomplete;
     return waiting_.find_identity(identity);
 }
 
--- a/src/operator/daemon_settings.cpp
+++ b/src/operator/daemon_settings.cpp
@@ -9,6 +9,10 @@
 namespace {
 
 constexpr std::uint64_t port_most = 65'535;
+constexpr double default_link_mbps = 1'000;
+constexpr double min_link_mbps = 0.1;
+constexpr double max_link_mbps = 1e6;
+constexpr double bytes_per_megabit = 125'000;
 
 // The port alone stands for one at the daemon's own IP address.
 std::uint16_t read_port(settings_file& file, const std::string& key,
@@ -45,6 +49,8 @@
     s.service_ = file.text("daemon.service", "");
     s.stop_notice_ = file.milliseconds("daemon.stop_notice_ms", 0, 0, 3'600'000);
     s.drain_timeout_ = file.milliseconds("daemon.drain_timeout_ms", 30'000, 0, 3'600'000);
+    s.link_bytes_per_second_ =
+        file.number("daemon.link_mbps", default_link_mbps, min_link_mbps, max_link_mbps) * bytes_per_megabit;
     s.announcement_timeout_ = file.milliseconds("backend.announcement_timeout_ms", 3'000, 100, 600'000);
     s.log_level_ = file.text("log.level", "info");
     if (s.log_level_ != "info" && s.log_level_ != "warn" && s.log_level_ != "error" &&
--- a/src/peer/layouts.h
+++ b/src/peer/layouts.h
@@ -43,7 +43,11 @@
                   &decide::call::service_, &decide::call::version_, &decide::call::class_,
                   &decide::call::route_, &decide::call::configuration_, &decide::call::remaining_,
                   &decide::call::sent_ms_, &decide::call::waited_, &decide::call::depth_,
-                  &decide::call::request_);
+                  &decide::call::body_bytes_, &decide::call::request_);
+GUAVAHAVEN_LAYOUT(decide::body_grant, &decide::body_grant::id_, &decide::body_grant::offset_,
+                  &decide::body_grant::bytes_);
+GUAVAHAVEN_LAYOUT(decide::body_part, &decide::body_part::id_, &decide::body_part::offset_,
+                  &decide::body_part::bytes_);
 GUAVAHAVEN_LAYOUT(decide::call_ack, &decide::call_ack::id_);
 GUAVAHAVEN_LAYOUT(decide::answer, &decide::answer::id_, &decide::answer::load_, &decide::answer::response_,
                   &decide::answer::complete_);
--- a/src/peer/message.h
+++ b/src/peer/message.h
@@ -15,7 +15,7 @@
 namespace guavahaven::peer {
 
 // Must be raised with each change of a message that older daemons can't read.
-inline constexpr std::uint32_t protocol_version = 4;
+inline constexpr std::uint32_t protocol_version = 5;
 
 // A frame with a longer payload is refused.
 inline constexpr std::size_t max_payload_bytes = 4 * 1024 * 1024;
--- a/tests/decide/entry/entry_test.cpp
+++ b/tests/decide/entry/entry_test.cpp
@@ -121,6 +121,38 @@
     EXPECT_EQ(replies()[0].response_.body_, "one");
 }
 
+// Guards against large bodies that occupy a link before the gate has admitted the request.
+TEST_F(entry_test, large_body_is_sent_in_the_parts_that_the_gate_asks_for)
+{
+    // Given a request with a body of 20,000 bytes
+    std::string body(20'000, 'a');
+    body.back() = 'z';
+    handle(caller_request{first, {"POST", "/placements", {}, body}});
+    const send_to_gate attempt = sent();
+    // Then the call goes without it
+    EXPECT_EQ(std::get<call>(attempt.message_).body_bytes_, body.size());
+    EXPECT_TRUE(std::get<call>(attempt.message_).request_.body_.empty());
+
+    // When the gate asks for a part, it gets that part
+    from_gate(attempt, call_ack{id_of(attempt)});
+    from_gate(attempt, body_grant{id_of(attempt), 16'000, 4'000});
+    const auto parts = all_of_type<send_to_gate>(last_);
+    ASSERT_EQ(parts.size(), 1U);
+    EXPECT_EQ(std::get<body_part>(parts[0].message_).offset_, 16'000U);
+    EXPECT_EQ(std::get<body_part>(parts[0].message_).bytes_, body.substr(16'000));
+    // And nothing beyond the body's end
+    from_gate(attempt, body_grant{id_of(attempt), 20'000, 1});
+    EXPECT_TRUE(last_.empty());
+
+    // When that gate refuses, another gets the same offer
+    from_gate(attempt, refusal{id_of(attempt), code::draining, {}, 0});
+    EXPECT_NE(sent().to_, attempt.to_);
+    EXPECT_EQ(std::get<call>(sent().message_).body_bytes_, body.size());
+    // And the first one gets no parts any more
+    from_gate(attempt, body_grant{id_of(attempt), 0, 8'000});
+    EXPECT_TRUE(last_.empty());
+}
+
 // A gate may answer after its attempt was replaced; that answer must not reach the caller.
 TEST_F(entry_test, answer_of_replaced_attempt_is_ignored)
 {
--- a/tests/support/gate_harness.h
+++ b/tests/support/gate_harness.h
@@ -26,8 +26,9 @@
 route POST /placements to desk as confirm       # supervisors
 )";
 
-    explicit gate_harness(std::vector<std::string> others = {})
-        : gate_(self_, incarnation(started), data_center_name("leon"), now_)
+    explicit gate_harness(std::vector<std::string> others = {},
+                          double link_bytes_per_second = decide::default_link_bytes_per_second)
+        : gate_(self_, incarnation(started), data_center_name("leon"), now_, link_bytes_per_second)
     {
         handle(decide::backend_announced{service_name("desk"), version_name("v1"), 12, 120, false, 1});
         others.push_back(self_.str());
