--- a/tests/decide/gate/stated_backend_test.cpp
+++ b/tests/decide/gate/stated_backend_test.cpp
@@ -102,6 +102,38 @@
     EXPECT_EQ(gate_.load().limit_, 12U);
 }
 
+// Answers that are lost on the way break connections of a backend server that is well. If the requests before
+// the break counted as those of a cold one, it would get none for a second, and the waiting calls would miss
+// their deadlines.
+TEST_F(stated_backend, that_cut_a_run_gets_requests_at_the_cold_rate_at_once)
+{
+    constexpr std::size_t unstated_rate = 10; // the rules of this test state none
+
+    // Given a backend server that had more requests in the last second than a cold one may get
+    EXPECT_GT(starts_within(seconds(1)), unstated_rate);
+    // When one run breaks
+    send(make(++sequence_));
+    now_ += milliseconds(5);
+    handle(run_broken{runs_.back()});
+    const std::size_t before = runs_.size();
+    // Then it gets as many as a cold one may get, and no more until it answers one of them
+    for (std::size_t i = 0; i < 2 * unstated_rate; ++i)
+        send(make(++sequence_));
+    EXPECT_EQ(runs_.size() - before, unstated_rate);
+    // And a further break doesn't allow more
+    now_ += milliseconds(5);
+    handle(run_broken{runs_[before]});
+    send(make(++sequence_));
+    EXPECT_EQ(runs_.size() - before, unstated_rate);
+    // But an answer to a run that began after the last break does
+    pass(milliseconds(1200));
+    send(make(++sequence_));
+    ASSERT_GT(runs_.size() - before, unstated_rate);
+    answer(runs_.back());
+    pass(milliseconds(1));
+    EXPECT_EQ(gate_.load().limit_, 12U);
+}
+
 TEST_F(stated_backend, whose_place_another_took_gets_nothing_until_it_announces_itself)
 {
     send(make(1));
