A request that can't be retried is fenced, not failed, when its gate is silent

Now an entry asks the gate what became of the request, over a new connection, as it did for requests that must run once. If it has not run there it goes to another gate, without a retry; if it runs its answer is awaited.

Ruled out: waiting for the acknowledgement alone (a gate that is cut off would hold the request until its deadline); a longer time-out (a dead gate would cost every request that time).

Test: entry_test.unacknowledged_request_without_a_retry_left_is_fenced_and_not_failed, seen to fail before.

--- a/src/decide/entry/entry.cpp
+++ b/src/decide/entry/entry.cpp
@@ -304,14 +304,29 @@
     attempt(r, now, why);
 }
 
+bool entry::may_spend_retry(const request_state& r, time_point now) const
+{
+    const auto budget = budgets_.find(r.call_.service_);
+    return now < r.deadline_ && r.retries_ + 1 < r.max_attempts_ && budget != budgets_.end() &&
+           budget->second.can_spend();
+}
+
 bool entry::try_spend_retry(request_state& r, time_point now)
 {
-    if (now >= r.deadline_ || r.retries_ + 1 >= r.max_attempts_ || !budgets_[r.call_.service_].spend())
+    if (!may_spend_retry(r, now))
         return false;
+    budgets_.at(r.call_.service_).spend();
     ++r.retries_;
     return true;
 }
 
+// A request that must not run twice, or that can't be retried, is fenced when its gate is silent or its
+// connection is lost: if it has not run there, it may go to another gate without a retry.
+bool entry::needs_fence(const request_state& r, time_point now) const
+{
+    return !r.fenced_ && !r.answering_ && (r.call_.once_ || !may_spend_retry(r, now));
+}
+
 void entry::handle_unknown_outcome(request_state& r, time_point now, code why)
 {
     if (r.answering_)
@@ -333,10 +348,10 @@
             affected.push_back(id);
     for (const exchange_id id : affected) {
         request_state& r = requests_.at(id);
-        if (r.answering_ || !r.call_.once_ || r.fenced_)
-            handle_unknown_outcome(r, now, code::outcome_unknown);
-        else
+        if (needs_fence(r, now))
             send_fence(r, now);
+        else
+            handle_unknown_outcome(r, now, code::outcome_unknown);
     }
 }
 
@@ -368,7 +383,7 @@
             expire(r, now);
         else if (r.received_)
             schedule(r, r.deadline_);
-        else if (!r.fenced_ && r.call_.once_) {
+        else if (needs_fence(r, now)) {
             balancer_.mark_unresponsive(r.gate_, random_, now);
             send_fence(r, now);
         }
--- a/src/decide/entry/entry.h
+++ b/src/decide/entry/entry.h
@@ -173,6 +173,9 @@
     // After an attempt that may have run.
     void handle_unknown_outcome(request_state& r, time_point now, code why);
     void reply_duplicate(request_state& r, time_point now, int earlier_status);
+    bool needs_fence(const request_state& r, time_point now) const;
+    // True if the retry rule, the budget and the deadline allow one more retry.
+    bool may_spend_retry(const request_state& r, time_point now) const;
     // Spends a retry if the retry rule, the budget and the deadline allow one.
     bool try_spend_retry(request_state& r, time_point now);
     void send_fence(request_state& r, time_point now);
--- a/src/decide/entry/retry_budget.h
+++ b/src/decide/entry/retry_budget.h
@@ -10,6 +10,7 @@
 public:
     // Adds the retries that one first attempt earns (0.1: one retry for ten).
     void earn(double share);
+    bool can_spend() const { return retries_ >= 1; }
     // Spends one retry; returns false if less than one is left.
     bool spend();
     // Sets the upper bound of the saved retries. A new budget starts full, so that a
--- a/tests/decide/entry/entry_test.cpp
+++ b/tests/decide/entry/entry_test.cpp
@@ -247,6 +247,41 @@
 }
 
 // Guards against losing one request after another to a gate that is cut off or stopped.
+// Links that are busy for a while (overload) delay acknowledgements. A request that can't be retried then
+// must not be given up while its gate may still run it.
+TEST_F(entry_test, unacknowledged_request_without_a_retry_left_is_fenced_and_not_failed)
+{
+    // Given a service whose retry budget is spent
+    std::vector<send_to_gate> open;
+    for (std::uint64_t i = 10; i < 40; ++i)
+        open.push_back(send_request(exchange_id(i), "GET", "/shifts/1"));
+    for (const send_to_gate& s : open) {
+        from_gate(s, run_failure{id_of(s), code::outcome_unknown, {}});
+        if (sent_again())
+            from_gate(sent(), answer{id_of(sent()), {}, {200, {}, "retried"}, true});
+    }
+
+    // When the gate of a request doesn't acknowledge it
+    const send_to_gate attempt = send_request(first, "GET", "/shifts/7");
+    advance(std::chrono::milliseconds(250));
+    // Then the caller is not told that it has failed, and the gate is asked over a new connection
+    EXPECT_TRUE(replies().empty());
+    const auto asked = all_of_type<send_to_gate>(last_);
+    ASSERT_EQ(asked.size(), 1U);
+    EXPECT_TRUE(asked[0].fresh_connection_);
+    ASSERT_TRUE(std::holds_alternative<fence>(asked[0].message_));
+
+    // When it turns out that it has not run there, it goes to another gate
+    from_gate(attempt, fence_reply{id_of(attempt), incarnation(), run_status::never_ran});
+    ASSERT_TRUE(sent_again());
+    EXPECT_NE(sent().to_, attempt.to_);
+    // And its answer reaches the caller
+    const send_to_gate again = sent();
+    from_gate(again, answer{id_of(again), {}, {200, {}, "seven"}, true});
+    ASSERT_EQ(replies().size(), 1U);
+    EXPECT_EQ(replies()[0].response_.body_, "seven");
+}
+
 TEST_F(entry_test, unresponsive_gate_is_avoided)
 {
     // Given a request that its gate does not acknowledge
