--- a/tests/decide/gate/gate_test.cpp
+++ b/tests/decide/gate/gate_test.cpp
@@ -86,9 +86,9 @@
     EXPECT_EQ(g.runs_.size(), 2U);
 }
 
-// A repeat of the key waits for the run of the first attempt, whose entry then fences it. If the fence said that
-// the first attempt never ran, its entry could run the request elsewhere while the repeat has it run here: the
-// replicas of the key grant it to the first attempt's request.
+// A repeat of the key waits for the run of the first attempt, whose entry then fences it. If the fence said
+// that the first attempt never ran, its entry could run the request elsewhere while the repeat has it run
+// here: the replicas of the key grant it to the first attempt's request.
 TEST(non_idempotent_request_runs_at_most_once, when_the_first_of_two_attempts_is_fenced)
 {
     gate_harness g;
