A stated body size can't overflow the estimate of its arrival

body_receiver::transfer_time added sizes as integers and converted the sum without a bound: a call that stated 2^62 bytes or more was admitted. Found when the diff was read. Now summed as floating-point numbers, at most 48 hours.

Test: upload.of_an_impossible_size_is_refused, seen to fail before (admitted three times), passes under the sanitizers.

--- a/src/decide/gate/body_receiver.cpp
+++ b/src/decide/gate/body_receiver.cpp
@@ -15,6 +15,8 @@
 constexpr std::uint64_t min_outstanding_bytes = 2 * part_bytes;
 constexpr std::uint64_t max_outstanding_bytes = 64 * part_bytes;
 constexpr duration stall_timeout = std::chrono::milliseconds(300); // without a part, grants are taken back
+// Longer than any deadline; a body size of another daemon may be any number.
+constexpr duration max_transfer_time = std::chrono::hours(48);
 constexpr std::size_t max_bodies = 256;
 constexpr std::uint64_t max_total_bytes = 16 * 1024 * 1024; // of the bodies, as announced
 
@@ -35,12 +37,13 @@
 
 duration body_receiver::transfer_time(std::uint64_t body_bytes) const
 {
-    std::uint64_t bytes = body_bytes;
+    double bytes = static_cast<double>(body_bytes);
     for (const auto& [key, body] : bodies_)
         if (body.missing() <= body_bytes)
-            bytes += body.missing();
+            bytes += static_cast<double>(body.missing());
+    const std::chrono::duration<double> time(bytes / link_bytes_per_second_);
     return std::chrono::duration_cast<duration>(
-        std::chrono::duration<double>(static_cast<double>(bytes) / link_bytes_per_second_));
+        std::min<std::chrono::duration<double>>(time, max_transfer_time));
 }
 
 void body_receiver::add(held_call held, time_point now)
--- a/tests/decide/gate/body_receiver_test.cpp
+++ b/tests/decide/gate/body_receiver_test.cpp
@@ -118,6 +118,25 @@
     EXPECT_EQ(u.g_.refused(), code::ok);
 }
 
+// A size that no body has, as another daemon may state it, must not overflow the estimate of its arrival.
+TEST(upload, of_an_impossible_size_is_refused)
+{
+    uploads u;
+    std::uint64_t sequence = 1001;
+    for (const std::uint64_t bytes : {std::uint64_t{1} << 62U, ~std::uint64_t{0}}) {
+        decide::call c = u.make(sequence++, 0);
+        c.body_bytes_ = bytes;
+        u.send(c);
+        EXPECT_EQ(u.g_.refused(), code::overloaded);
+    }
+    u.send(u.make(sequence++, 20'000));
+    decide::call beside_another = u.make(sequence++, 0);
+    beside_another.body_bytes_ = ~std::uint64_t{0};
+    u.send(beside_another);
+    EXPECT_EQ(u.g_.refused(), code::overloaded);
+    EXPECT_EQ(u.g_.gate_.load().queued_, 1U);
+}
+
 TEST(upload, whose_parts_were_lost)
 {
     uploads u;
