Logs: fences, their replies, and attempts dropped at a silent gate

Cause: an entry logged neither that it asked a gate what became of an attempt nor the reply, so that a 502 by its own time-out could be told from a lost connection only by the time it took ('took_ms=750').

The hypotheses of docs/incidents/given-up-behind-a-busy-link.md differ in these lines: no fence_sent, a fence_sent without a reply, or one less than 250 ms after 'sent'.

No functional change

--- a/src/caller/listener.cpp
+++ b/src/caller/listener.cpp
@@ -4,6 +4,25 @@
 
 namespace guavahaven::caller {
 
+namespace {
+
+std::string_view name(decide::run_status s)
+{
+    switch (s) {
+    case decide::run_status::never_ran:
+        return "never_ran";
+    case decide::run_status::running:
+        return "running";
+    case decide::run_status::ran:
+        return "ran";
+    case decide::run_status::unknown:
+        return "unknown";
+    }
+    return "invalid";
+}
+
+} // namespace
+
 listener::listener(event_loop& loop, metrics& counts, decide::entry decisions,
                    std::function<void(const daemon_name&, const decide::entry_to_gate&, bool)> send_to_gate)
     : metrics_(counts), entry_(std::move(decisions)), send_to_gate_(std::move(send_to_gate)),
@@ -70,6 +89,8 @@
 {
     if (const auto* c = std::get_if<decide::call>(&a.message_))
         log_attempt(a.to_, *c);
+    else
+        log_doubted_attempt(a);
     send_to_gate_(a.to_, a.message_, a.fresh_connection_);
 }
 
@@ -89,6 +110,19 @@
                                   " configuration=" + std::to_string(c.configuration_.value()));
 }
 
+// Logs an attempt of which the gate is asked what became of it, or that is dropped since the gate is silent.
+void listener::log_doubted_attempt(const decide::send_to_gate& a)
+{
+    const auto* asked = std::get_if<decide::fence>(&a.message_);
+    const auto* dropped = std::get_if<decide::cancel>(&a.message_);
+    if (!asked && !(dropped && a.fresh_connection_))
+        return;
+    if (failed_log_.try_acquire(clock_.now()))
+        failed_log_.write(asked ? "fence_sent" : "attempt_dropped",
+                          "call=" + decide::to_string(asked ? asked->id_ : dropped->id_) + " gate=" +
+                              a.to_.str() + " connection=" + (a.fresh_connection_ ? "new" : "open"));
+}
+
 // Logs an attempt that a gate refused or that broke off; a retry may follow.
 void listener::log_failed_attempt(const decide::gate_message& m)
 {
@@ -101,6 +135,10 @@
     if (why && failed_log_.try_acquire(clock_.now()))
         failed_log_.write("attempt_failed", "call=" + decide::to_string(id) + " gate=" + m.from_.str() +
                                                 " result=" + std::string(name(*why)));
+    if (const auto* f = std::get_if<decide::fence_reply>(&m.message_);
+        f && failed_log_.try_acquire(clock_.now()))
+        failed_log_.write("fence_replied", "call=" + decide::to_string(f->id_) + " gate=" + m.from_.str() +
+                                               " status=" + std::string(name(f->run_status_)));
 }
 
 void listener::apply(const decide::reply& a)
--- a/src/caller/listener.h
+++ b/src/caller/listener.h
@@ -47,6 +47,7 @@
     void apply(const decide::reply_abort& a);
     void apply(const decide::request_ended& a);
     void log_attempt(const daemon_name& to, const decide::call& c);
+    void log_doubted_attempt(const decide::send_to_gate& a);
     void log_failed_attempt(const decide::gate_message& m);
     void write_body(decide::exchange_id id, open_exchange& to, const std::string& bytes);
     void tick();
