--- a/tests/decide/entry/entry_test.cpp
+++ b/tests/decide/entry/entry_test.cpp
@@ -36,20 +36,26 @@
 class entry_test : public testing::Test {
 protected:
     entry_test() : entry_(daemon_name("10.0.0.9:1"), incarnation(1), data_center_name("leon"), 1)
+    {
+        handle(entry_view_changed{view_with(daemon_name(), member_state::alive)});
+    }
+
+    // A view of all gates, one of which is in the given state.
+    view_ptr view_with(const daemon_name& gate, member_state state) const
     {
         auto known = std::make_shared<view>();
-        known->configuration_ = std::make_shared<const configuration>(
-            guavahaven::take(operators::parse_record({configuration_number(1), "tests", 0, rules})));
+        known->configuration_ = configuration_;
         for (int i = 0; i < 6; ++i) {
             member m;
             m.name_ = daemon_name("10.0.0." + std::to_string(i) + ":1");
+            m.state_ = m.name_ == gate ? state : member_state::alive;
             m.data_center_ = data_center_name("leon");
             m.service_ = service_name(i < 3 ? "board" : "desk");
             m.version_ = version_name("v1");
             m.slots_ = 12;
             known->members_.push_back(m);
         }
-        handle(entry_view_changed{known});
+        return known;
     }
 
     void handle(const entry_event& e) { last_ = entry_.handle(e, now_); }
@@ -93,6 +99,8 @@
     }
 
     time_point now_{std::chrono::hours(1)};
+    configuration_ptr configuration_ = std::make_shared<const configuration>(
+        guavahaven::take(operators::parse_record({configuration_number(1), "tests", 0, rules})));
     entry entry_;
     entry_actions last_;
 };
@@ -246,7 +254,6 @@
     EXPECT_TRUE(last_.empty());
 }
 
-// Guards against losing one request after another to a gate that is cut off or stopped.
 // Links that are busy for a while (overload) delay acknowledgements. A request that can't be retried then
 // must not be given up while its gate may still run it.
 TEST_F(entry_test, unacknowledged_request_without_a_retry_left_is_fenced_and_not_failed)
@@ -282,6 +289,43 @@
     EXPECT_EQ(replies()[0].response_.body_, "seven");
 }
 
+// Guards against failing a request while its gate, behind a link that is busy for longer than the gate is
+// usually silent, still runs it.
+TEST_F(entry_test, request_is_not_given_up_while_its_gate_lives_and_does_not_reply_to_the_fence)
+{
+    // Given a request that must run once, and a gate that neither acknowledges it nor replies to the fence
+    const send_to_gate attempt = send_request(first, "POST", "/placements");
+    for (int i = 0; i < 6; ++i)
+        advance(std::chrono::milliseconds(250));
+    // Then its caller is not told that it has failed
+    EXPECT_TRUE(replies().empty());
+    EXPECT_TRUE(entry_.busy());
+
+    // When the answer comes at last, its caller gets it
+    from_gate(attempt, answer{id_of(attempt), {}, {200, {}, "placed"}, true});
+    ASSERT_EQ(replies().size(), 1U);
+    EXPECT_EQ(replies()[0].response_.body_, "placed");
+}
+
+// Guards against holding a request whose gate is known to be lost.
+TEST_F(entry_test, request_is_given_up_once_its_gate_that_does_not_reply_to_the_fence_is_lost)
+{
+    for (const member_state lost : {member_state::suspect, member_state::dead}) {
+        // Given a request whose gate replies to nothing
+        const send_to_gate attempt = send_request(first, "POST", "/placements");
+        for (int i = 0; i < 4; ++i)
+            advance(std::chrono::milliseconds(250));
+        ASSERT_TRUE(replies().empty());
+        // When the gate is found to be lost
+        handle(entry_view_changed{view_with(attempt.to_, lost)});
+        advance(std::chrono::milliseconds(500));
+        // Then the caller hears at once that the outcome is unknown
+        EXPECT_EQ(replied_code(), code::outcome_unknown) << name(lost);
+        handle(entry_view_changed{view_with(attempt.to_, member_state::alive)});
+    }
+}
+
+// Guards against losing one request after another to a gate that is cut off or stopped.
 TEST_F(entry_test, unresponsive_gate_is_avoided)
 {
     // Given a request that its gate does not acknowledge
--- a/tests/integration/entry_lifecycle_test.cpp
+++ b/tests/integration/entry_lifecycle_test.cpp
@@ -67,6 +67,31 @@
     EXPECT_GT(caller.received().size(), 3'000'000U);
 }
 
+// Guards against giving up a request after SIGTERM because the link to its gate is slow, while its backend
+// server is at work on it.
+TEST(entry_lifecycle, a_stopping_daemon_answers_a_request_that_a_slow_link_delays)
+{
+    support::mesh mesh({{{"leon", "other", "v1", {}}, {"leon", "board", "v1", {}}}, true});
+    ASSERT_EQ(mesh.apply(rules).status_, 0);
+    ASSERT_TRUE(mesh.wait_ready(1));
+
+    // Given a link to the gate on which bytes take longer than an acknowledgement and a fence may take
+    for (const support::node& n : mesh.nodes())
+        mesh.set_fault(n, "mode=pass&delay_ms=900");
+    support::raw_connection caller(mesh.at(0).callers());
+    ASSERT_TRUE(caller.send("POST /placements HTTP/1.1\r\nHost: leon\r\nContent-Length: 5\r\n\r\nmaria"));
+
+    // When the daemon that has read the request is told to stop
+    int stopped = -1;
+    std::thread stopper([&] { stopped = mesh.at(0).daemon_->stop(); });
+
+    // Then the caller gets the answer of the backend server
+    caller.wait_closed(std::chrono::seconds(20));
+    stopper.join();
+    EXPECT_EQ(stopped, 0);
+    EXPECT_NE(caller.received().find(" 200 "), std::string::npos) << caller.received();
+}
+
 TEST(entry_lifecycle, a_stopping_daemon_serves_its_backend_server_during_the_notice)
 {
     support::mesh_plan plan{{{"leon", "other", "v1", {}}, {"leon", "board", "v1", {}}}, false};
