An unanswered fence doesn't end a request while its gate lives

Change: without a reply the request waits until the gate answers, its connection is lost, membership holds the gate for suspect or dead, a retry is available, or the deadline passes.

--- a/src/decide/entry/entry.cpp
+++ b/src/decide/entry/entry.cpp
@@ -14,7 +14,8 @@
 constexpr std::uint32_t max_redirects = 8;   // after refusals that cost gate and backend server no work
 // A gate that does not acknowledge a call within this counts as unresponsive.
 constexpr duration acknowledgement_timeout = std::chrono::milliseconds(250);
-constexpr duration fence_timeout = std::chrono::milliseconds(500); // for the reply to a fence
+// Without a reply to a fence for so long, the gate is given up if it is known to be lost.
+constexpr duration fence_timeout = std::chrono::milliseconds(500);
 // For the reply to the fence of an expired request.
 constexpr duration expired_fence_timeout = std::chrono::milliseconds(100);
 constexpr std::uint64_t max_requested_timeout_ms = 86'400'000; // one day
@@ -383,19 +384,32 @@
             expire(r, now);
         else if (r.received_)
             schedule(r, r.deadline_);
-        else if (needs_fence(r, now)) {
-            balancer_.mark_unresponsive(r.gate_, random_, now);
-            send_fence(r, now);
-        }
-        else {
-            balancer_.mark_unresponsive(r.gate_, random_, now);
-            // The fresh connection replaces the unresponsive one for later messages too.
-            actions_.push_back(send_to_gate{r.gate_, cancel{r.call_.id_}, true});
-            handle_unknown_outcome(r, now, code::outcome_unknown);
-        }
+        else
+            handle_silence(r, now);
     }
 }
 
+void entry::handle_silence(request_state& r, time_point now)
+{
+    balancer_.mark_unresponsive(r.gate_, random_, now);
+    if (needs_fence(r, now))
+        return send_fence(r, now);
+    // The gate may be running the request behind a link that is busy: only its loss ends the wait.
+    const bool may_retry = !r.call_.once_ && may_spend_retry(r, now);
+    if (r.fenced_ && !may_retry && !gate_lost(r))
+        return schedule(r, std::min(r.deadline_, now + fence_timeout));
+    // The fresh connection replaces the unresponsive one for later messages too.
+    actions_.push_back(send_to_gate{r.gate_, cancel{r.call_.id_}, true});
+    handle_unknown_outcome(r, now, code::outcome_unknown);
+}
+
+bool entry::gate_lost(const request_state& r) const
+{
+    const member* gate = view_->find_member(r.gate_);
+    return !gate || gate->incarnation_ != r.call_.gate_ || gate->state_ == member_state::suspect ||
+           gate->state_ == member_state::dead;
+}
+
 // A request that must not run twice is fenced before it is given up: the gate's reply
 // says whether it was still queued, and so has not run, or may have run.
 void entry::expire(request_state& r, time_point now)
--- a/src/decide/view.cpp
+++ b/src/decide/view.cpp
@@ -104,13 +104,17 @@
     return at == moves_.end() ? nullptr : &*at;
 }
 
-bool view::gone(const daemon_name& name) const
+const member* view::find_member(const daemon_name& name) const
 {
     const auto before = [](const member& m, const daemon_name& n) { return m.name_ < n; };
     const auto at = std::lower_bound(members_.begin(), members_.end(), name, before);
-    if (at == members_.end() || at->name_ != name)
-        return false;
-    return at->state_ == member_state::left || at->state_ == member_state::dead;
+    return at == members_.end() || at->name_ != name ? nullptr : &*at;
+}
+
+bool view::gone(const daemon_name& name) const
+{
+    const member* known = find_member(name);
+    return known && (known->state_ == member_state::left || known->state_ == member_state::dead);
 }
 
 } // namespace guavahaven::decide
--- a/src/decide/view.h
+++ b/src/decide/view.h
@@ -83,6 +83,8 @@
     std::set<std::pair<service_name, version_name>> abandoned_versions_;
 
     const move_fact* find_move(move_id id) const;
+    // Null if no such daemon is known.
+    const member* find_member(const daemon_name& name) const;
     // True if the daemon is known to be dead or to have left.
     bool gone(const daemon_name& name) const;
 };
