A replaced connection's loss doesn't end a fenced request

Found by looking for the same class of fault elsewhere: a request that was ended although its gate lives.

Cause: a request whose gate was silent is fenced over a new connection. When the silent connection broke before the reply came, the entry took that for the gate's end and failed the request, though the fence was on its way.

Evidence: the test below failed before the change (a reply where none was due).

Change: the transport says of a lost connection whether a newer one to the daemon is open; then the reply to the fence is awaited. Ruled out: ignoring the loss of every older connection (an unfenced request may have been on it).

Test: entry_test.request_is_not_given_up_when_the_connection_that_its_fence_ replaced_is_lost.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -176,7 +176,8 @@
             for (const decide::call_id id : lost_connection->unsent_)
                 mail_.post(to_entry{decide::gate_message{
                     lost_connection->daemon_, decide::refusal{id, code::peer_unreachable, {}, 0}}});
-            mail_.post(to_entry{decide::gate_disconnected{lost_connection->daemon_}});
+            mail_.post(
+                to_entry{decide::gate_disconnected{lost_connection->daemon_, lost_connection->replaced_}});
             mail_.post(to_gate{decide::peer_gate_disconnected{lost_connection->daemon_}});
             return;
         }
--- a/src/decide/entry/entry.cpp
+++ b/src/decide/entry/entry.cpp
@@ -351,7 +351,7 @@
         request_state& r = requests_.at(id);
         if (needs_fence(r, now))
             send_fence(r, now);
-        else
+        else if (!e.replaced_ || !r.fenced_) // else the reply to the fence is still to come
             handle_unknown_outcome(r, now, code::outcome_unknown);
     }
 }
--- a/src/decide/entry/entry.h
+++ b/src/decide/entry/entry.h
@@ -47,6 +47,7 @@
 // The connection to a daemon was lost, with all messages in transit on it.
 struct gate_disconnected {
     daemon_name gate_;
+    bool replaced_ = false; // a newer connection to that daemon is open
     friend bool operator==(const gate_disconnected&, const gate_disconnected&) = default;
 };
 struct entry_view_changed {
--- a/src/peer/transport.cpp
+++ b/src/peer/transport.cpp
@@ -110,7 +110,7 @@
     if (!over || reconnect)
         over = open(to);
     if (!over) {
-        handler_(connection_lost{to, {}});
+        handler_(connection_lost{to, {}, false});
         return;
     }
     record_unsent(*over, m);
@@ -213,7 +213,7 @@
             if (other->name_ == name)
                 by_name_.insert_or_assign(name, other);
     if (was_used || carried_calls)
-        handler_(connection_lost{name, std::move(unsent)});
+        handler_(connection_lost{name, std::move(unsent), !was_used});
 }
 
 // Closes connections that a newer one replaced or that are no longer used.
--- a/src/peer/transport.h
+++ b/src/peer/transport.h
@@ -28,6 +28,7 @@
 struct connection_lost {
     daemon_name daemon_;
     std::vector<decide::call_id> unsent_; // calls of which no byte was sent
+    bool replaced_ = false;               // a newer connection to the daemon is open
 };
 using event = std::variant<message_received, connection_lost>;
 
--- a/tests/decide/entry/entry_test.cpp
+++ b/tests/decide/entry/entry_test.cpp
@@ -325,6 +325,33 @@
     }
 }
 
+// Guards against failing a request because the connection that a fence has replaced breaks at last, while its
+// gate lives and the fence is on its way over the newer connection.
+TEST_F(entry_test, request_is_not_given_up_when_the_connection_that_its_fence_replaced_is_lost)
+{
+    // Given a request that must run once, fenced over a new connection since its gate was silent
+    const send_to_gate attempt = send_request(first, "POST", "/placements");
+    advance(std::chrono::milliseconds(250));
+    ASSERT_TRUE(std::holds_alternative<fence>(all_of_type<send_to_gate>(last_).at(0).message_));
+
+    // When the older connection is lost
+    handle(gate_disconnected{attempt.to_, true});
+    // Then its caller is not told that it has failed
+    EXPECT_TRUE(replies().empty());
+
+    // And the reply that comes over the newer connection decides
+    from_gate(attempt, fence_reply{id_of(attempt), incarnation(), run_status::running});
+    from_gate(attempt, answer{id_of(attempt), {}, {200, {}, "placed"}, true});
+    ASSERT_EQ(replies().size(), 1U);
+    EXPECT_EQ(replies()[0].response_.body_, "placed");
+
+    // When the newer connection is lost, too, the caller hears at once that the outcome is unknown
+    const send_to_gate other = send_request(second, "POST", "/placements");
+    advance(std::chrono::milliseconds(250));
+    handle(gate_disconnected{other.to_, false});
+    EXPECT_EQ(replied_code(), code::outcome_unknown);
+}
+
 // Guards against losing one request after another to a gate that is cut off or stopped.
 TEST_F(entry_test, unresponsive_gate_is_avoided)
 {
