A run that has ended is no reason to give up its answer

What a caller would see: 502, or an answer broken off, though its answer was on the way. Found by looking for the same class of fault elsewhere.

Cause: the fence of a silent gate goes over a new connection, the answer of a run that ended just before went over the silent one. The reply 'ran' can overtake the answer, and the entry took it for the answer's loss.

Evidence: both tests below failed before the change.

Change: for a request that can't run again, and for an answer that has begun, 'ran' leaves the answer to be awaited until a connection to the gate is lost or the deadline passes. If one was lost before, the answer is gone and the caller hears so at once. A request that may run again fails at once as before, since its caller can repeat it.

--- a/src/decide/entry/entry.cpp
+++ b/src/decide/entry/entry.cpp
@@ -220,6 +220,8 @@
     r.sent_ = now;
     r.received_ = false;
     r.fenced_ = false;
+    r.ran_ = false;
+    r.connection_lost_ = false;
     r.tried_.insert(gate);
     r.call_.id_ = {started_, ++last_sequence_};
     if (r.call_.identity_.empty())
@@ -349,9 +351,10 @@
             affected.push_back(id);
     for (const exchange_id id : affected) {
         request_state& r = requests_.at(id);
+        r.connection_lost_ = true;
         if (needs_fence(r, now))
             send_fence(r, now);
-        else if (!e.replaced_ || !r.fenced_) // else the reply to the fence is still to come
+        else if (!e.replaced_ || !r.fenced_ || r.ran_) // else the reply to the fence is still to come
             handle_unknown_outcome(r, now, code::outcome_unknown);
     }
 }
--- a/src/decide/entry/entry.h
+++ b/src/decide/entry/entry.h
@@ -132,6 +132,8 @@
         std::uint32_t redirects_ = 0;    // after refusals that cost no work; they spend no retry
         bool received_ = false;          // the gate has acknowledged it
         bool fenced_ = false;
+        bool ran_ = false;               // the gate has replied that the run has ended
+        bool connection_lost_ = false;   // a connection to the gate was lost after the attempt was sent
         bool expired_ = false;           // past its deadline; only the reply to a fence is awaited
         bool maybe_ran_ = false;         // an earlier attempt may have run
         bool answering_ = false;         // the answer, or its first part, went to the caller
--- a/src/decide/entry/entry_answers.cpp
+++ b/src/decide/entry/entry_answers.cpp
@@ -115,6 +115,12 @@
         close_attempt(r, r.expired_ ? attempt_end::neutral : attempt_end::unreachable, now);
         return r.expired_ ? fail(r, now, code::not_run) : try_elsewhere(r, now, code::not_run);
     case run_status::ran:
+        // The answer was sent before the reply, over the connection that was silent, and may still arrive.
+        if (r.expired_ || r.connection_lost_ || !(r.call_.once_ || r.answering_))
+            return handle_unknown_outcome(r, now, code::outcome_unknown);
+        r.received_ = true;
+        r.ran_ = true;
+        return schedule(r, r.deadline_);
     case run_status::unknown:
         return handle_unknown_outcome(r, now, code::outcome_unknown);
     case run_status::running:
--- a/tests/decide/entry/entry_test.cpp
+++ b/tests/decide/entry/entry_test.cpp
@@ -352,6 +352,48 @@
     EXPECT_EQ(replied_code(), code::outcome_unknown);
 }
 
+// Guards against failing a request whose answer is on its way when the reply to the fence, sent later over a
+// newer connection, overtakes it.
+TEST_F(entry_test, request_that_has_run_is_not_given_up_while_its_answer_may_arrive)
+{
+    // Given a request that must run once, fenced since its gate was silent
+    const send_to_gate attempt = send_request(first, "POST", "/placements");
+    advance(std::chrono::milliseconds(250));
+    // When the gate replies that its run has ended
+    from_gate(attempt, fence_reply{id_of(attempt), incarnation(), run_status::ran});
+    // Then the answer is awaited, and passed on
+    EXPECT_TRUE(replies().empty());
+    from_gate(attempt, answer{id_of(attempt), {}, {200, {}, "placed"}, true});
+    ASSERT_EQ(replies().size(), 1U);
+    EXPECT_EQ(replies()[0].response_.body_, "placed");
+
+    // When the older connection is lost before the answer has come, the caller hears that the outcome is
+    // unknown
+    const send_to_gate other = send_request(second, "POST", "/placements");
+    advance(std::chrono::milliseconds(250));
+    from_gate(other, fence_reply{id_of(other), incarnation(), run_status::ran});
+    handle(gate_disconnected{other.to_, true});
+    EXPECT_EQ(replied_code(), code::outcome_unknown);
+
+    // When it was lost before the gate replied, likewise: the answer was lost with it
+    const send_to_gate broken = send_request(exchange_id(3), "POST", "/placements");
+    handle(gate_disconnected{broken.to_, false});
+    from_gate(broken, fence_reply{id_of(broken), incarnation(), run_status::ran});
+    EXPECT_EQ(replied_code(), code::outcome_unknown);
+}
+
+// Guards against breaking off an answer of which the last parts are on their way over the older connection.
+TEST_F(entry_test, answer_in_parts_is_not_broken_off_by_the_reply_to_a_fence)
+{
+    const send_to_gate attempt = send_request(first, "POST", "/placements");
+    advance(std::chrono::milliseconds(250));
+    from_gate(attempt, answer{id_of(attempt), {}, {200, {}, "abc"}, false});
+    from_gate(attempt, fence_reply{id_of(attempt), incarnation(), run_status::ran});
+    EXPECT_TRUE(all_of_type<reply_abort>(last_).empty());
+    from_gate(attempt, answer_part{id_of(attempt), 3, "def", true});
+    ASSERT_EQ(all_of_type<reply_part>(last_).size(), 1U);
+}
+
 // Guards against losing one request after another to a gate that is cut off or stopped.
 TEST_F(entry_test, unresponsive_gate_is_avoided)
 {
