--- a/tests/decide/configuration/order_set_test.cpp
+++ b/tests/decide/configuration/order_set_test.cpp
@@ -39,6 +39,23 @@
                                    [](const order& a, const order& b) { return a.revision_ < b.revision_; }));
 }
 
+// Two daemons may identify one order differently: one that knew it before the platform lost it, and operators
+// wrote it again, and one that did not.
+TEST(order_set, converges_to_the_earlier_identity_of_an_order)
+{
+    const order as_known{"move/board", 9, "3", "move board to v2 by 2026-12-05T18:00:00.100Z as 3 # omar"};
+    const order as_new{"move/board", 9, "7", "move board to v2 by 2026-12-05T18:00:01.700Z as 7 # omar"};
+    order_set one;
+    one.merge({as_known});
+    one.merge({as_new});
+    order_set other;
+    other.merge({as_new});
+    other.merge({as_known});
+    EXPECT_EQ(one.rules(), as_known.rule_ + "\n");
+    EXPECT_EQ(other.rules(), as_known.rule_ + "\n");
+    EXPECT_EQ(one.hash(), other.hash());
+}
+
 TEST(order_set, takes_back_orders_that_a_complete_list_lacks)
 {
     order_set book;
--- a/tests/decide/control_test.cpp
+++ b/tests/decide/control_test.cpp
@@ -145,6 +145,32 @@
 }
 
 // A daemon that was cut off would stay suspect if nobody told it.
+// Guards against the end of a move that stays lost when the platform is restored to an older state.
+TEST(control, stores_the_end_of_a_move_again_that_the_platform_has_lost)
+{
+    started_daemon d;
+    move_fact active;
+    active.id_ = move_id(7);
+    active.service_ = service_name("board");
+    active.version_ = version_name("v2");
+    move_fact withdrawn = active;
+    withdrawn.withdrawn_ = true;
+    const auto stored = [](const control_actions& actions) {
+        std::vector<store_move> found;
+        for (const control_action& a : actions)
+            if (const auto* s = std::get_if<store_move>(&a))
+                found.push_back(*s);
+        return found;
+    };
+    // Given a move that the platform holds as withdrawn
+    EXPECT_TRUE(stored(d.handle(platform_moves{active.service_, {withdrawn}})).empty());
+    // When the platform is read again and holds an older state
+    const auto again = stored(d.handle(platform_moves{active.service_, {active}}));
+    // Then the withdrawal is stored again
+    ASSERT_EQ(again.size(), 1U);
+    EXPECT_EQ(again[0].fact_, withdrawn);
+}
+
 TEST(control, tells_a_suspect_so_that_it_can_refute)
 {
     started_daemon d;
--- a/tests/platform/watcher_test.cpp
+++ b/tests/platform/watcher_test.cpp
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include "decide/configuration/order_set.h"
 #include "support/users_store.h"
 
 namespace guavahaven::platform {
@@ -36,11 +37,11 @@
     {
     }
 
-    // Runs the loop until a condition holds; false if it doesn't within the timeout.
+    // Runs the loop until a condition holds; false if it doesn't within the time.
     template <class Condition>
-    bool run_until(const Condition& holds)
+    bool run_until(const Condition& holds, duration within = timeout)
     {
-        const time_point until = clock_.now() + timeout;
+        const time_point until = clock_.now() + within;
         while (!holds() && clock_.now() < until) {
             timer pause(loop_, [this] { loop_.stop(); });
             pause.arm(poll_interval);
@@ -63,6 +64,32 @@
                 found.push_back(*one);
         return found;
     }
+    // The rules of the orders passed to the control task so far, joined as it joins them.
+    std::string orders_in_force() const
+    {
+        decide::order_set joined;
+        for (const decide::platform_orders& o : events_of<decide::platform_orders>()) {
+            if (o.subject_prefix_.empty())
+                joined.merge(o.orders_);
+            else
+                joined.merge_snapshot(o.subject_prefix_, o.orders_, o.revision_);
+        }
+        return joined.rules();
+    }
+    bool is_out(const std::string& data_center) const
+    {
+        return orders_in_force().find("out " + data_center) != std::string::npos;
+    }
+    // The store is away until it is put back into service; returns once the daemon has noticed.
+    bool take_store_down()
+    {
+        store_.faults_.down_ = true;
+        store_.cut_watches();
+        return run_until([&] {
+            const auto asked = events_of<decide::platform_read_result>();
+            return !asked.empty() && !asked.back().answered_;
+        });
+    }
     // Number of the last configuration passed to the control task; 0 if there was none.
     std::uint64_t last_number() const
     {
@@ -227,6 +254,116 @@
     EXPECT_TRUE(run_until([&] { return store_.status("rollouts", "board").at("state") == "rolled_back"; }));
 }
 
+// Guards against orders that are read only once something of the configuration has changed after an outage.
+TEST_F(following, reads_orders_after_an_outage_though_nothing_else_changes)
+{
+    ASSERT_TRUE(start_watching());
+    ASSERT_TRUE(take_store_down());
+    // When the store is back with all its history, and a data centre is to be evacuated
+    store_.faults_.down_ = false;
+    store_.put("evacuations", "leon", json::object());
+    // Then the daemon reads that within the 5 s that the users allow
+    EXPECT_TRUE(run_until([&] { return is_out("leon"); }, std::chrono::seconds(5)));
+}
+
+// Guards against watches that go on from a revision that a restored store has given out again: what differs
+// below it would never be read.
+TEST_F(following, reads_all_again_from_a_restored_store_that_knows_its_revision)
+{
+    ASSERT_TRUE(start_watching());
+    store_.keep_copy();
+    for (int number = 2; number <= 4; ++number)
+        store_.put("config", "main", configuration(number));
+    ASSERT_TRUE(run_until([&] { return last_number() == 4; }));
+    ASSERT_TRUE(take_store_down());
+    // Given a store that lost these configurations, and in which the revisions after the copy belong to other
+    // changes, the last one later than any that the daemon has seen
+    store_.restore_copy();
+    store_.put("config", "main", configuration(5));
+    store_.put("evacuations", "leon", json::object());
+    while (store_.revision() < 20)
+        store_.put("evacuations", "celaya", {{"note", store_.revision()}});
+    // When it is back, then the daemon learns of all of them
+    store_.faults_.down_ = false;
+    EXPECT_TRUE(run_until([&] { return last_number() == 5; }, std::chrono::seconds(5)));
+    EXPECT_TRUE(run_until([&] { return is_out("leon"); }, std::chrono::seconds(5)));
+}
+
+// Guards against new orders that are taken for old ones, since a restored store gives out lower revisions.
+TEST_F(following, takes_an_order_of_a_restored_store_for_newer_than_any_before)
+{
+    ASSERT_TRUE(start_watching());
+    store_.keep_copy();
+    // Given a data centre that was out and is back, both in what the store has lost
+    store_.put("evacuations", "leon", json::object());
+    ASSERT_TRUE(run_until([&] { return is_out("leon"); }));
+    for (int number = 2; number <= 4; ++number)
+        store_.put("config", "main", configuration(number));
+    store_.remove("evacuations", "leon");
+    ASSERT_TRUE(run_until([&] { return !is_out("leon"); }));
+    ASSERT_TRUE(take_store_down());
+    store_.restore_copy();
+    store_.faults_.down_ = false;
+    run_for(std::chrono::seconds(3));
+    // When it is to be evacuated once more
+    store_.put("evacuations", "leon", json::object());
+    // Then the daemon knows that within the 5 s that the users allow
+    EXPECT_TRUE(run_until([&] { return is_out("leon"); }, std::chrono::seconds(5)));
+}
+
+// Guards against a data centre that takes requests again, since the store has lost its evacuation and the
+// operators have not written it again yet.
+TEST_F(following, keeps_an_order_that_a_restored_store_has_lost_until_operators_had_time_to_write_it_again)
+{
+    ASSERT_TRUE(start_watching());
+    store_.keep_copy();
+    store_.put("evacuations", "leon", json::object());
+    ASSERT_TRUE(run_until([&] { return is_out("leon"); }));
+    ASSERT_TRUE(take_store_down());
+    // When the store is back without the evacuation
+    store_.restore_copy();
+    store_.faults_.down_ = false;
+    ASSERT_TRUE(run_until([&] { return events_of<decide::platform_read_result>().back().answered_; }));
+    run_for(std::chrono::milliseconds(700));
+    // Then the data centre stays out, and also once the operators have written the evacuation again
+    EXPECT_TRUE(is_out("leon"));
+    store_.put("evacuations", "leon", json::object());
+    run_for(std::chrono::seconds(3));
+    EXPECT_TRUE(is_out("leon"));
+    // And when they end it, the data centre is back
+    store_.remove("evacuations", "leon");
+    EXPECT_TRUE(run_until([&] { return !is_out("leon"); }));
+}
+
+// Guards against a roll-out that begins anew, since operators have written its lost order again: its version
+// may have been withdrawn, or be the only one that still runs.
+TEST_F(following, takes_a_roll_out_that_operators_wrote_again_for_the_same)
+{
+    const json spec{{"service", "board"}, {"targetVersion", "v2"}, {"durationS", 10}};
+    const auto last_move = [this] { return events_of<decide::platform_moves>().back().facts_.front().id_; };
+    ASSERT_TRUE(start_watching());
+    store_.keep_copy();
+    store_.put("config", "main", configuration(2));
+    store_.put("rollouts", "board", spec);
+    ASSERT_TRUE(run_until([&] { return !store_.status("rollouts", "board").is_null(); }));
+    const move_id ordered = last_move();
+    const std::string rule = orders_in_force();
+    ASSERT_TRUE(take_store_down());
+    // When the store has lost the order, and the operators write it again
+    store_.restore_copy();
+    store_.put("rollouts", "board", spec);
+    store_.faults_.down_ = false;
+    ASSERT_TRUE(run_until([&] { return !store_.status("rollouts", "board").is_null(); }));
+    run_for(std::chrono::milliseconds(100));
+    // Then the move and its deadline are the same
+    EXPECT_EQ(last_move(), ordered);
+    EXPECT_EQ(orders_in_force(), rule);
+    // But an order that follows its deletion is another one
+    store_.remove("rollouts", "board");
+    store_.put("rollouts", "board", spec);
+    ASSERT_TRUE(run_until([&] { return last_move() != ordered; }));
+}
+
 TEST_F(following, passes_over_what_another_writer_spoilt)
 {
     ASSERT_TRUE(start_watching());
--- a/tests/support/users_store.cpp
+++ b/tests/support/users_store.cpp
@@ -12,11 +12,7 @@
 using nlohmann::json;
 
 constexpr const char* start = "/objects/";
-
-http::response reply(int status, const json& body)
-{
-    return {status, {{"Content-Type", "application/json"}}, body.dump()};
-}
+constexpr std::uint64_t brief_wait_ms = 10; // a watch that waits no longer is answered at once
 
 // The parts of a path between slashes, after the common start.
 std::vector<std::string> parts_of(const std::string& path)
@@ -47,6 +43,11 @@
         throw std::runtime_error("the stand-in of the store can't listen");
 }
 
+http::response users_store::reply(int status, const json& body) const
+{
+    return {status, {{"Content-Type", "application/json"}, {"Store-Era", std::to_string(era_)}}, body.dump()};
+}
+
 void users_store::put(const std::string& kind, const std::string& name, const json& spec)
 {
     stored& o = kinds_[kind][name];
@@ -68,6 +69,21 @@
         w.exchange_->reply(reply(410, json::object()));
 }
 
+void users_store::restore_copy()
+{
+    kinds_ = copy_.kinds_;
+    revision_ = copy_.revision_;
+    std::erase_if(history_, [this](const change& c) { return c.revision_ > revision_; });
+    ++era_;
+    cut_watches();
+}
+
+void users_store::cut_watches()
+{
+    for (const waiting_watch& w : std::exchange(watches_, {}))
+        w.exchange_->reply(reply(503, json::object()));
+}
+
 json users_store::status(const std::string& kind, const std::string& name) const
 {
     return holds(kind, name) ? kinds_.at(kind).at(name).status_ : json();
@@ -147,9 +163,11 @@
 void users_store::watch(const std::shared_ptr<http::exchange>& e, const std::string& kind)
 {
     const std::uint64_t since = std::stoull(http::query_parameter(e->received().target_, "watch"));
-    if (since < history_from_)
+    if (since < history_from_ || since > revision_)
         return e->reply(reply(410, json::object()));
-    if (const json found = changes(kind, since); !found.empty())
+    const json found = changes(kind, since);
+    if (!found.empty() ||
+        std::stoull(http::query_parameter(e->received().target_, "waitMs")) <= brief_wait_ms)
         return e->reply(reply(200, {{"events", found}, {"currentRev", revision_}}));
     watches_.push_back({e, kind, since});
 }
--- a/tests/support/users_store.h
+++ b/tests/support/users_store.h
@@ -33,6 +33,13 @@
     void remove(const std::string& kind, const std::string& name);
     // Watches from before now are told that their history is gone.
     void forget_history();
+    // Ends waiting watches with an error.
+    void cut_watches();
+    // Keeps a copy of all objects, from which the store can be restored. Then what was written since is gone,
+    // revisions are given out again, waiting watches are cut, and the era rises by one.
+    void keep_copy() { copy_ = {kinds_, revision_}; }
+    void restore_copy();
+    std::uint64_t revision() const { return revision_; }
 
     // Null if there is no such object, or it has no status.
     nlohmann::json status(const std::string& kind, const std::string& name) const;
@@ -63,6 +70,8 @@
         std::uint64_t since_ = 0;
     };
 
+    // An answer with the era that the store states in all its answers.
+    http::response reply(int status, const nlohmann::json& body) const;
     void receive(const std::shared_ptr<http::exchange>& e);
     http::response answer(const http::request& r, const std::string& kind, const std::string& name);
     http::response create(const http::request& r, const std::string& kind);
@@ -76,9 +85,14 @@
 
     http::server server_;
     std::uint16_t port_;
+    std::uint64_t era_ = 1;
     std::uint64_t revision_ = 1;
     std::uint64_t history_from_ = 1;
     std::map<std::string, std::map<std::string, stored>> kinds_;
+    struct copy {
+        std::map<std::string, std::map<std::string, stored>> kinds_;
+        std::uint64_t revision_ = 1;
+    } copy_;
     std::vector<change> history_;
     std::list<waiting_watch> watches_;
     std::vector<std::shared_ptr<http::exchange>> unanswered_;
