The end of a move that the platform has lost is stored again

Cause: daemons wrote the end of a move when they learned of it, and took it for stored from then on.

Change: when the platform's facts of a service are read and lack an end that is known here, it is stored again; so is the withdrawal of a move whose deadline has passed.

--- a/src/decide/control.cpp
+++ b/src/decide/control.cpp
@@ -89,6 +89,14 @@
 {
     moves_.mark_facts_loaded(e.service_);
     spread(moves_.merge(e.facts_), daemon_name());
+    // The platform may have been restored to an older state: the end of a move is stored again.
+    for (const move_fact& stored : e.facts_) {
+        const move_fact* known = moves_.find(stored.id_);
+        if (known && (known->done_ != stored.done_ || known->withdrawn_ != stored.withdrawn_))
+            actions_.push_back(store_move{*known});
+        if (!stored.withdrawn_)
+            reported_expired_.erase(stored.id_);
+    }
 }
 
 void control::on(const own_backend& e, time_point)
--- a/src/decide/moves/move_tracker.cpp
+++ b/src/decide/moves/move_tracker.cpp
@@ -276,6 +276,12 @@
     return {};
 }
 
+const move_fact* move_tracker::find(move_id id) const
+{
+    const auto at = facts_.find(id);
+    return at == facts_.end() ? nullptr : &at->second;
+}
+
 std::vector<move_fact> move_tracker::facts() const
 {
     std::vector<move_fact> all;
--- a/src/decide/moves/move_tracker.h
+++ b/src/decide/moves/move_tracker.h
@@ -54,6 +54,8 @@
     // in the configuration tries them again.
     const std::set<std::pair<service_name, version_name>>& abandoned() const { return abandoned_versions_; }
 
+    // Null if nothing is known of the move.
+    const move_fact* find(move_id id) const;
     // Facts of the moves in the configuration.
     std::vector<move_fact> facts() const;
     // The same, with moves that were not done by their deadline shown as withdrawn, and trials that no judge
