--- a/src/decide/configuration/order_set.cpp
+++ b/src/decide/configuration/order_set.cpp
@@ -14,11 +14,12 @@
 }
 
 // The order with the higher revision wins. Two daemons may give the same order different rule texts, since
-// each uses the time at which it saw the order (such as for the deadline of a move): then the text that
-// sorts first wins.
+// each uses the time at which it saw the order (such as for the deadline of a move), and may identify it
+// differently after the platform had lost it: then the text that sorts first wins.
 order join(const order& a, const order& b)
 {
-    order joined = a.revision_ >= b.revision_ ? a : b;
+    const bool first = a.revision_ == b.revision_ ? a.rule_ <= b.rule_ : a.revision_ > b.revision_;
+    order joined = first ? a : b;
     if (a.identity_ == b.identity_ && !a.rule_.empty() && !b.rule_.empty())
         joined.rule_ = std::min(a.rule_, b.rule_);
     return joined;
