The loss of a replaced connection ends neither an answer nor a run

What a caller would see: an answer broken off halfway, or a look-up that runs twice, because an older connection to a living gate breaks.

Change: when a newer connection to the gate is open, an answer that has begun goes on (a part that was lost shows as a gap, and breaks it off then), and the gate is asked what became of any other request instead of trying it elsewhere.

Test, which failed before: entry_test.loss_of_an_older_connection_ends_neither_ an_answer_nor_a_run.

--- a/src/decide/entry/entry.cpp
+++ b/src/decide/entry/entry.cpp
@@ -352,13 +352,27 @@
     for (const exchange_id id : affected) {
         request_state& r = requests_.at(id);
         r.connection_lost_ = true;
-        if (needs_fence(r, now))
+        if (e.replaced_)
+            handle_replaced_connection(r, now);
+        else if (needs_fence(r, now))
             send_fence(r, now);
-        else if (!e.replaced_ || !r.fenced_ || r.ran_) // else the reply to the fence is still to come
+        else
             handle_unknown_outcome(r, now, code::outcome_unknown);
     }
 }
 
+// The gate lives. An answer that has begun goes on over the newer connection, unless a part was lost; of any
+// other request the gate says what became of it.
+void entry::handle_replaced_connection(request_state& r, time_point now)
+{
+    if (r.answering_)
+        return;
+    if (r.ran_)
+        return handle_unknown_outcome(r, now, code::outcome_unknown);
+    if (!r.fenced_)
+        send_fence(r, now);
+}
+
 void entry::send_fence(request_state& r, time_point now)
 {
     if (!guard_enabled(guard::fence))
--- a/src/decide/entry/entry.h
+++ b/src/decide/entry/entry.h
@@ -182,6 +182,8 @@
     // Spends a retry if the retry rule, the budget and the deadline allow one.
     bool try_spend_retry(request_state& r, time_point now);
     void send_fence(request_state& r, time_point now);
+    // A connection to the gate was lost that a newer one has replaced.
+    void handle_replaced_connection(request_state& r, time_point now);
     // The gate has not acknowledged the attempt, or not replied to its fence.
     void handle_silence(request_state& r, time_point now);
     // True if the gate's process has ended or can't be reached, as far as membership knows.
--- a/tests/decide/entry/entry_test.cpp
+++ b/tests/decide/entry/entry_test.cpp
@@ -394,6 +394,33 @@
     ASSERT_EQ(all_of_type<reply_part>(last_).size(), 1U);
 }
 
+// Guards against ending requests that go over the newer connection to a gate when an older one breaks: the
+// gate lives, and says what became of each.
+TEST_F(entry_test, loss_of_an_older_connection_ends_neither_an_answer_nor_a_run)
+{
+    // Given an answer that has begun, and a look-up that its gate has acknowledged
+    const send_to_gate answering = send_request(first, "GET", "/shifts/1");
+    from_gate(answering, answer{id_of(answering), {}, {200, {}, "abc"}, false});
+    const send_to_gate running = send_request(second, "GET", "/shifts/2");
+    from_gate(running, call_ack{id_of(running)});
+
+    // When older connections to their gates are lost
+    handle(gate_disconnected{answering.to_, true});
+    EXPECT_TRUE(all_of_type<reply_abort>(last_).empty());
+    if (running.to_ != answering.to_)
+        handle(gate_disconnected{running.to_, true});
+    // Then the look-up is not sent a second time; its gate is asked what became of it
+    const auto asked = all_of_type<send_to_gate>(last_);
+    ASSERT_EQ(asked.size(), 1U);
+    EXPECT_EQ(asked[0].message_, entry_to_gate(fence{id_of(running), incarnation()}));
+
+    // And the answer goes on, but for a gap it is broken off
+    from_gate(answering, answer_part{id_of(answering), 3, "def", false});
+    EXPECT_EQ(all_of_type<reply_part>(last_).size(), 1U);
+    from_gate(answering, answer_part{id_of(answering), 9, "jkl", true});
+    EXPECT_EQ(all_of_type<reply_abort>(last_).size(), 1U);
+}
+
 // Guards against losing one request after another to a gate that is cut off or stopped.
 TEST_F(entry_test, unresponsive_gate_is_avoided)
 {
