A fence without a reply is sent again

What a caller would see: a request held until its deadline, though its gate could say at once that it has not run.

Cause: a fence was sent once. Its connection can be lost while membership holds the gate for alive; the entry then waited for a reply that could not come.

Change: it is sent again each 500 ms over the connection that is open by then; a gate answers repeated fences alike.

Test, which failed before: entry_test.fence_without_a_reply_is_sent_again.

Signature: (unchanged)

--- a/src/decide/entry/entry.cpp
+++ b/src/decide/entry/entry.cpp
@@ -413,8 +413,11 @@
         return send_fence(r, now);
     // The gate may be running the request behind a link that is busy: only its loss ends the wait.
     const bool may_retry = !r.call_.once_ && may_spend_retry(r, now);
-    if (r.fenced_ && !may_retry && !gate_lost(r))
+    if (r.fenced_ && !may_retry && !gate_lost(r)) {
+        // The fence, or its reply, may have been lost with a connection.
+        actions_.push_back(send_to_gate{r.gate_, fence{r.call_.id_, r.call_.gate_}, false});
         return schedule(r, std::min(r.deadline_, now + fence_timeout));
+    }
     // The fresh connection replaces the unresponsive one for later messages too.
     actions_.push_back(send_to_gate{r.gate_, cancel{r.call_.id_}, true});
     handle_unknown_outcome(r, now, code::outcome_unknown);
--- a/tests/decide/entry/entry_test.cpp
+++ b/tests/decide/entry/entry_test.cpp
@@ -421,6 +421,23 @@
     EXPECT_EQ(all_of_type<reply_abort>(last_).size(), 1U);
 }
 
+// Guards against waiting until the deadline for the reply to a fence that was lost on its way.
+TEST_F(entry_test, fence_without_a_reply_is_sent_again)
+{
+    // Given a request whose gate was silent, and does not reply to the fence
+    const send_to_gate attempt = send_request(first, "POST", "/placements");
+    advance(std::chrono::milliseconds(250));
+    advance(std::chrono::milliseconds(500));
+    // Then the fence is sent again, over the connection that is open by now
+    const auto asked = all_of_type<send_to_gate>(last_);
+    ASSERT_EQ(asked.size(), 1U);
+    EXPECT_FALSE(asked[0].fresh_connection_);
+    EXPECT_EQ(asked[0].message_, entry_to_gate(fence{id_of(attempt), incarnation()}));
+    // And its reply decides
+    from_gate(attempt, fence_reply{id_of(attempt), incarnation(), run_status::never_ran});
+    EXPECT_NE(sent().to_, attempt.to_);
+}
+
 // Guards against losing one request after another to a gate that is cut off or stopped.
 TEST_F(entry_test, unresponsive_gate_is_avoided)
 {
