--- a/tests/platform/watcher_test.cpp
+++ b/tests/platform/watcher_test.cpp
@@ -364,6 +364,24 @@
     ASSERT_TRUE(run_until([&] { return last_move() != ordered; }));
 }
 
+// Guards against taking back a lost order at once where the restored store is met by a list, and not by a
+// watch.
+TEST_F(following, gives_operators_time_also_if_the_first_answer_of_a_restored_store_is_a_list)
+{
+    ASSERT_TRUE(start_watching());
+    store_.keep_copy();
+    store_.put("evacuations", "leon", json::object());
+    ASSERT_TRUE(run_until([&] { return is_out("leon"); }));
+    // When the store is restored in a moment, and says only that the history of a watch is gone
+    store_.restore_copy();
+    store_.forget_history();
+    run_for(std::chrono::milliseconds(1500));
+    // Then the data centre stays out
+    EXPECT_TRUE(is_out("leon"));
+    // Until the operators have had time to write the evacuation again
+    EXPECT_TRUE(run_until([&] { return !is_out("leon"); }));
+}
+
 TEST_F(following, passes_over_what_another_writer_spoilt)
 {
     ASSERT_TRUE(start_watching());
--- a/tests/support/users_store.cpp
+++ b/tests/support/users_store.cpp
@@ -75,7 +75,6 @@
     revision_ = copy_.revision_;
     std::erase_if(history_, [this](const change& c) { return c.revision_ > revision_; });
     ++era_;
-    cut_watches();
 }
 
 void users_store::cut_watches()
--- a/tests/support/users_store.h
+++ b/tests/support/users_store.h
@@ -36,7 +36,7 @@
     // Ends waiting watches with an error.
     void cut_watches();
     // Keeps a copy of all objects, from which the store can be restored. Then what was written since is gone,
-    // revisions are given out again, waiting watches are cut, and the era rises by one.
+    // revisions are given out again, and the era rises by one.
     void keep_copy() { copy_ = {kinds_, revision_}; }
     void restore_copy();
     std::uint64_t revision() const { return revision_; }
