--- a/tests/platform/watcher_test.cpp
+++ b/tests/platform/watcher_test.cpp
@@ -382,6 +382,27 @@
     EXPECT_TRUE(run_until([&] { return !is_out("leon"); }));
 }
 
+// Guards against an order that is taken for one of the same content that was taken back long ago.
+TEST_F(following, takes_a_roll_out_for_a_new_one_if_the_restored_store_had_none)
+{
+    const json spec{{"service", "board"}, {"targetVersion", "v2"}, {"durationS", 10}};
+    const auto last_move = [this] { return events_of<decide::platform_moves>().back().facts_.front().id_; };
+    ASSERT_TRUE(start_watching());
+    store_.keep_copy();
+    store_.put("rollouts", "board", spec);
+    ASSERT_TRUE(run_until([&] { return !store_.status("rollouts", "board").is_null(); }));
+    const move_id ordered = last_move();
+    ASSERT_TRUE(take_store_down());
+    // Given a restored store without the roll-out, which the operators have not written again in time
+    store_.restore_copy();
+    store_.put("config", "main", configuration(2));
+    store_.faults_.down_ = false;
+    ASSERT_TRUE(run_until([&] { return orders_in_force().empty(); }));
+    // When they order one of the same content, then it is another move
+    store_.put("rollouts", "board", spec);
+    EXPECT_TRUE(run_until([&] { return last_move() != ordered; }));
+}
+
 TEST_F(following, passes_over_what_another_writer_spoilt)
 {
     ASSERT_TRUE(start_watching());
