No status is written before the orders of a restored store are read

What operators would see: the status of an older order on a newer one that has its revision by chance; writes that are refused each 500 ms.

Cause: a status was written under the revision of the era before.

Test, which failed before: following.writes_no_status_before_it_has_read_the_ orders_of_a_restored_store.

Signature: (unchanged)

--- a/tests/platform/watcher_test.cpp
+++ b/tests/platform/watcher_test.cpp
@@ -403,6 +403,25 @@
     EXPECT_TRUE(run_until([&] { return last_move() != ordered; }));
 }
 
+// Guards against a status that is written over another order, which has the revision that was known of
+// before.
+TEST_F(following, writes_no_status_before_it_has_read_the_orders_of_a_restored_store)
+{
+    ASSERT_TRUE(start_watching());
+    store_.keep_copy();
+    store_.put("rollouts", "board", {{"service", "board"}, {"targetVersion", "v2"}, {"durationS", 10}});
+    ASSERT_TRUE(run_until([&] { return !store_.status("rollouts", "board").is_null(); }));
+    decide::move_fact fact = events_of<decide::platform_moves>().front().facts_.front();
+    fact.withdrawn_ = true;
+    ASSERT_TRUE(take_store_down());
+    watcher_.store_move(fact);
+    store_.restore_copy();
+    store_.forget_calls();
+    store_.faults_.down_ = false;
+    ASSERT_TRUE(run_until([&] { return store_.count("GET /objects/rollouts") > 0; }));
+    EXPECT_EQ(store_.count("PUT /objects/rollouts/board/status"), 0U);
+}
+
 TEST_F(following, passes_over_what_another_writer_spoilt)
 {
     ASSERT_TRUE(start_watching());
