A refusal that comes again on an idle connection counts for no request: tests

Reported from another operator: a faulty backend server wrote an earlier refusal once more on a kept connection, and callers were told 'not run, try again' for requests that were running.

Bytes that arrive while no request waits can't count here: the client closes an idle connection on which anything arrives, and one on which anything is left in the read that completed an answer, also if a request waits for the connection. No test showed so yet. With either mechanism switched off (the check of busy() in connection::read, the check of the input's length in complete()) the new test http_client_answers.a_refusal_that_comes_again_closes_an_idle_connection fails.

No functional change

--- a/tests/base/http_answers_test.cpp
+++ b/tests/base/http_answers_test.cpp
@@ -1,16 +1,12 @@
 // The client and the server on reused connections: no request may get the answer to
 // another one, and no incomplete answer may pass for a complete one.
 
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
-#include <event2/listener.h>
 #include <gtest/gtest.h>
 
-#include <netinet/in.h>
-
 #include "base/http.h"
 #include "support/process.h"
 #include "support/raw_connection.h"
+#include "support/scripted_server.h"
 
 namespace guavahaven {
 
@@ -25,63 +21,7 @@
     loop.run();
 }
 
-// Answers a request with fixed bytes, whatever it is, and then closes the connection if
-// closes is set.
-class scripted_server {
-public:
-    scripted_server(event_loop& loop, const http::address& at, std::string script, bool closes)
-        : script_(std::move(script)), closes_(closes)
-    {
-        sockaddr_in where{};
-        where.sin_family = AF_INET;
-        where.sin_port = htons(at.port_);
-        where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        listener_ = evconnlistener_new_bind(loop.base(), &scripted_server::accept, this,
-                                            LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE, -1,
-                                            reinterpret_cast<const sockaddr*>(&where), sizeof where);
-    }
-    ~scripted_server()
-    {
-        for (bufferevent* stream : streams_)
-            bufferevent_free(stream);
-        evconnlistener_free(listener_);
-    }
-    scripted_server(const scripted_server&) = delete;
-    scripted_server& operator=(const scripted_server&) = delete;
-
-private:
-    static void accept(evconnlistener* l, evutil_socket_t fd, sockaddr*, int, void* self)
-    {
-        bufferevent* stream = bufferevent_socket_new(evconnlistener_get_base(l), fd, BEV_OPT_CLOSE_ON_FREE);
-        static_cast<scripted_server*>(self)->streams_.push_back(stream);
-        bufferevent_setcb(stream, &scripted_server::read, &scripted_server::written, nullptr, self);
-        bufferevent_enable(stream, EV_READ | EV_WRITE);
-    }
-    static void read(bufferevent* stream, void* self)
-    {
-        evbuffer* in = bufferevent_get_input(stream);
-        evbuffer_drain(in, evbuffer_get_length(in));
-        auto& s = *static_cast<scripted_server*>(self);
-        s.answered_ = true;
-        if (s.script_.empty())
-            return written(stream, self);
-        bufferevent_write(stream, s.script_.data(), s.script_.size());
-    }
-    static void written(bufferevent* stream, void* self)
-    {
-        auto& s = *static_cast<scripted_server*>(self);
-        if (!s.closes_ || !s.answered_)
-            return;
-        std::erase(s.streams_, stream);
-        bufferevent_free(stream);
-    }
-
-    std::string script_;
-    bool closes_;
-    bool answered_ = false;
-    std::vector<bufferevent*> streams_;
-    evconnlistener* listener_;
-};
+using ending = support::scripted_server::ending;
 
 struct outcome {
     code code_ = code::ok;
@@ -94,23 +34,55 @@
     return out << number(t.code_) << " '" << t.body_ << "'";
 }
 
-// The result that a client, which matches answers to requests by the header 'Id', gets
-// when the server sends the script.
-outcome answer_to(const std::string& script, bool closes)
-{
-    event_loop loop;
-    const http::address at{"127.0.0.1", support::free_port()};
-    const scripted_server server(loop, at, script, closes);
-    http::client client(loop, at, 1, {code::backend_unreachable, ""}, error{code::answer_incomplete, ""},
-                        {"Id", true});
-    outcome seen;
-    client.send({"GET", "/", {{"Id", "mine"}}, ""}, std::chrono::milliseconds(500),
+// A client that matches answers to requests by the header 'Id', and a server that sends scripts.
+class conversation {
+public:
+    conversation(std::vector<support::scripted_server::scripts> per_connection, ending after_last)
+        : server_(loop_, at_, std::move(per_connection), after_last)
+    {
+    }
+
+    // The result of a request, which names the id unless it is empty.
+    outcome ask(const std::string& id = "mine") { return ask_together({id}).front(); }
+    // The results of requests that wait for the one connection together.
+    std::vector<outcome> ask_together(const std::vector<std::string>& ids)
+    {
+        std::vector<outcome> seen;
+        for (const std::string& id : ids) {
+            const http::headers named = id.empty() ? http::headers{} : http::headers{{"Id", id}};
+            client_.send(
+                {"GET", "/", named, ""}, std::chrono::milliseconds(500),
                 [&](const result<http::response>& r) {
-                    seen = ok(r) ? outcome{code::ok, value(r).body_} : outcome{failure(r).code_, ""};
-                    loop.stop();
+                    seen.push_back(ok(r) ? outcome{code::ok, value(r).body_} : outcome{failure(r).code_, ""});
+                    if (seen.size() == ids.size())
+                        loop_.stop();
                 });
-    loop.run();
-    return seen;
+        }
+        loop_.run();
+        return seen;
+    }
+    void settle() { run_for(loop_, std::chrono::milliseconds(50)); }
+    support::scripted_server& server() { return server_; }
+
+private:
+    event_loop loop_;
+    http::address at_{"127.0.0.1", support::free_port()};
+    support::scripted_server server_;
+    http::client client_{
+        loop_, at_, 1, {code::backend_unreachable, ""}, error{code::answer_incomplete, ""}, {"Id", true}};
+};
+
+// The result that the client gets when the server sends the script, and then closes the connection if
+// closes is set.
+outcome answer_to(const std::string& script, bool closes)
+{
+    return conversation({{script}}, closes ? ending::closed : ending::kept).ask();
+}
+
+std::string message(const std::string& line, const std::string& id, const std::string& body)
+{
+    return "HTTP/1.1 " + line + "\r\n" + (id.empty() ? "" : "Id: " + id + "\r\n") +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 } // namespace
@@ -137,6 +109,37 @@
     EXPECT_EQ(answer_to("", true).code_, code::answer_incomplete);
 }
 
+// Bytes that arrive while no request waits belong to none: a refusal among them would count for the next.
+TEST(http_client_answers, a_refusal_that_comes_again_closes_an_idle_connection)
+{
+    const std::string refusal = message("503 Busy", "mine", "refused");
+    const std::string answer = message("200 OK", "mine", "mine");
+
+    {
+        // Given a copy that arrives while the connection is idle
+        conversation late({{refusal, refusal}, {answer}}, ending::kept);
+        EXPECT_EQ(late.ask(), (outcome{code::ok, "refused"}));
+        late.server().send_unasked(refusal);
+        late.settle();
+        // Then the next request, also the same one, uses another connection
+        EXPECT_EQ(late.ask(), (outcome{code::ok, "mine"}));
+        EXPECT_EQ(late.server().connections(), 2U);
+    }
+    for (const std::string& copy : {refusal, refusal.substr(0, 20), std::string("\r\n")}) {
+        SCOPED_TRACE(copy);
+        // Given a copy, whole or cut, in the same read as the refusal
+        conversation at_once({{refusal + copy, answer}, {answer}}, ending::kept);
+        EXPECT_EQ(at_once.ask(), (outcome{code::ok, "refused"}));
+        EXPECT_EQ(at_once.ask(), (outcome{code::ok, "mine"}));
+        EXPECT_EQ(at_once.server().connections(), 2U);
+    }
+    // Given an answer that came before its request, which is sent as soon as the connection is free
+    const std::string early = message("503 Busy", "next", "refused");
+    conversation waiting({{refusal + early}, {message("200 OK", "next", "next")}}, ending::kept);
+    EXPECT_EQ(waiting.ask_together({"mine", "next"}),
+              (std::vector<outcome>{{code::ok, "refused"}, {code::ok, "next"}}));
+}
+
 class http_server : public testing::Test {
 protected:
     http_server()
