A failure that names no request is not the answer to one with an id

Reported from another operator: copies of refusals told callers 'not run, try again' for requests that a backend server had run or was running (REFUSED), or such a request ran at a second one (TWICE).

Cause: where answers name their request, the HTTP client still took one that names none if its status was 300 or more. The connector counts it as a refusal if it says so, though it may be a late copy of another request's.

Change: such an answer breaks the request off, as a successful one did before: its run may have taken place, and the connection is closed. The refusal for want of an id comes to requests that have none, for which nothing changes. Ruled out: to distrust refusals only, since any other failure without an id may be another request's as well.

The expectation 'a refusal needs none' of http_client_answers. are_those_to_its_own_request stated the fault. It is replaced by the opposite, for five statuses, and by what holds for a refusal with the id and for a request without one.

Test, which failed before: http_client_answers.that_name_no_request_are_no_ refusals_of_a_request_with_an_id.

--- a/src/base/http_client.cpp
+++ b/src/base/http_client.cpp
@@ -228,8 +228,8 @@
         if (identity_.empty())
             return true;
         const std::string named = find_header(reader_.all_headers(), owner_.rules_.identity_header_);
-        mismatched_ = !named.empty() && named != identity_;
-        return !named.empty() || reader_.status() >= 300;
+        mismatched_ = named != identity_;
+        return !named.empty();
     }
 
     // The buffered bytes, as the start of the response or as a further part.
--- a/src/base/http_client.h
+++ b/src/base/http_client.h
@@ -33,9 +33,9 @@
 // How a client tells which response belongs to a request, and where it ends.
 struct response_rules {
     // Name of a header that the server copies from the request to the response. A
-    // response with another value belongs to another request and is skipped; a
-    // successful response without the header is an error. Empty: responses are
-    // matched to requests by their order alone.
+    // response with another value belongs to another request and is skipped; one
+    // without the header is an error, unless the request has none. Empty: responses
+    // are matched to requests by their order alone.
     std::string identity_header_;
     // A response without a stated length is complete when its connection is closed
     // cleanly. False: such a response is an error.
