A request that failed on a connection isn't sent again on it

Reported from another operator: a faulty backend server wrote an earlier refusal once more on a kept connection.

Cause: answers are matched by the request's id. If a refused request came again to the same backend server and got the same connection, a copy of the earlier refusal named it: the running request counted as not run.

Change: a connection remembers the ids of the requests that failed on it, and isn't used for these again. After 64 such failures it is closed, so that it never has to forget one. If all idle connections are out for a request at the limit of connections, one is closed for it. Ruled out: to close after each refusal (a new connection for each, where refusals come in numbers just when the backend server is full); to remember a limited number and forget the eldest (a busy connection would forget within a request's deadline).

Tests, which failed before: http_client_answers.a_request_that_was_refused_is_ not_sent_again_on_that_connection (the second request got 'refused' of the copy, also with other requests in between), and a_connection_with_many_refusals_is_ replaced.

--- a/src/base/http_client.cpp
+++ b/src/base/http_client.cpp
@@ -23,6 +23,9 @@
 // An idle connection is used again only within this many tenths of the server's idle
 // timeout: later, the server may close it just as a request is on its way.
 constexpr int usable_idle_tenths = 8;
+// A connection is closed after so many failures that name their request, so that what it remembers is
+// bounded.
+constexpr std::size_t max_remembered_failures = 64;
 
 // The server's idle timeout, from 'Keep-Alive: timeout=N' (seconds).
 duration server_idle_timeout(const headers& all)
@@ -75,6 +78,12 @@
         return stream_ && !busy() && (now - idle_since_) * 10 < idle_timeout_ * usable_idle_tenths;
     }
     time_point idle_since() const { return idle_since_; }
+    // True if a request with this identity has failed on this connection. A faulty server may send that
+    // failure again, which couldn't be told from the response to a request with the same identity.
+    bool has_failed(const std::string& identity) const
+    {
+        return std::find(failed_.begin(), failed_.end(), identity) != failed_.end();
+    }
 
     void start(waiting_request w)
     {
@@ -85,9 +94,7 @@
         started_ = false;
         buffered_.clear();
         head_request_ = w.request_.method_ == "HEAD";
-        identity_ = owner_.rules_.identity_header_.empty()
-                        ? ""
-                        : find_header(w.request_.headers_, owner_.rules_.identity_header_);
+        identity_ = owner_.identity_of(w.request_);
         begin_response();
         bufferevent_setwatermark(stream_, EV_READ, 0, in_parts_ ? max_read_ahead_bytes : 0);
         bufferevent_enable(stream_, EV_READ);
@@ -247,7 +254,10 @@
         timeout_.cancel();
         idle_timeout_ = server_idle_timeout(reader_.all_headers());
         idle_since_ = owner_.clock_.now();
+        if (!identity_.empty() && reader_.status() >= 300)
+            failed_.push_back(identity_);
         const bool kept = reader_.keep_alive() && !reader_.ends_with_connection() &&
+                          failed_.size() < max_remembered_failures &&
                           evbuffer_get_length(bufferevent_get_input(stream_)) == 0;
         const response_event last_event = next_event(true);
         const stream_handler handler = std::exchange(handler_, nullptr);
@@ -269,11 +279,12 @@
     bool in_parts_ = false;
     bool head_request_ = false;
     std::string identity_;
-    bool sent_ = false;         // bytes of the request were given to the operating system
-    bool started_ = false;      // the start of the response was passed to the handler
-    bool head_checked_ = false; // check_head() was called for this response
-    bool mismatched_ = false;   // the response belongs to another request
-    std::string buffered_;      // body bytes that were not yet passed to the handler
+    std::vector<std::string> failed_; // identities of the requests that failed on this connection
+    bool sent_ = false;               // bytes of the request were given to the operating system
+    bool started_ = false;            // the start of the response was passed to the handler
+    bool head_checked_ = false;       // check_head() was called for this response
+    bool mismatched_ = false;         // the response belongs to another request
+    std::string buffered_;            // body bytes that were not yet passed to the handler
     time_point idle_since_{};
     duration idle_timeout_ = default_idle_timeout;
 };
@@ -319,23 +330,40 @@
     enqueue({request_id, std::move(r), timeout, std::move(h), true});
 }
 
+std::string client::identity_of(const request& r) const
+{
+    return rules_.identity_header_.empty() ? "" : find_header(r.headers_, rules_.identity_header_);
+}
+
 // The most recently used one, so that the others can reach their idle timeout.
-client::connection* client::idle_connection()
+client::connection* client::idle_connection(const std::string& identity)
 {
     const time_point now = clock_.now();
     std::erase_if(connections_, [now](const auto& c) { return !c->busy() && !c->usable(now); });
     connection* best = nullptr;
     for (const auto& c : connections_)
-        if (!c->busy() && (!best || c->idle_since() > best->idle_since()))
+        if (!c->busy() && !c->has_failed(identity) && (!best || c->idle_since() > best->idle_since()))
             best = c.get();
     return best;
 }
 
+// Makes room for a connection if all idle ones are unusable for a request; false if none is idle.
+bool client::close_idle_connection()
+{
+    const auto idle =
+        std::find_if(connections_.begin(), connections_.end(), [](const auto& c) { return !c->busy(); });
+    if (idle == connections_.end())
+        return false;
+    (*idle)->end();
+    connections_.erase(idle);
+    return true;
+}
+
 void client::enqueue(waiting_request w)
 {
-    if (connection* idle = idle_connection())
+    if (connection* idle = idle_connection(identity_of(w.request_)))
         return idle->start(std::move(w));
-    if (connections_.size() >= max_connections_) {
+    if (connections_.size() >= max_connections_ && !close_idle_connection()) {
         waiting_.push_back(std::move(w));
         return;
     }
--- a/src/base/http_client.h
+++ b/src/base/http_client.h
@@ -88,7 +88,9 @@
     };
 
     connection* find(std::uint64_t request_id);
-    connection* idle_connection();
+    std::string identity_of(const request& r) const;
+    connection* idle_connection(const std::string& identity);
+    bool close_idle_connection();
     void enqueue(waiting_request w);
     void start_next();
     void forget(connection& c);
--- a/tests/base/http_answers_test.cpp
+++ b/tests/base/http_answers_test.cpp
@@ -131,6 +131,61 @@
               (outcome{code::ok, "no id"}));
 }
 
+// A faulty server writes an earlier refusal once more. If the refused request comes again and uses the same
+// connection, the copy names it, so that a running request would count as not run.
+TEST(http_client_answers, a_request_that_was_refused_is_not_sent_again_on_that_connection)
+{
+    const std::string refusal = message("503 Busy", "mine", "refused");
+    const std::string answer = message("200 OK", "mine", "mine");
+
+    {
+        // Given a server that writes its refusal again, when the refused request comes again
+        conversation again({{refusal, refusal + answer}, {answer}}, ending::kept);
+        EXPECT_EQ(again.ask(), (outcome{code::ok, "refused"}));
+        // Then the request gets its own answer, on another connection
+        EXPECT_EQ(again.ask(), (outcome{code::ok, "mine"}));
+        EXPECT_EQ(again.server().connections(), 2U);
+    }
+    {
+        // Given that other requests were refused or answered on the connection in between
+        conversation between(
+            {{refusal, message("503 Busy", "b", "refused"), message("200 OK", "c", "c"), refusal + answer},
+             {answer}},
+            ending::kept);
+        EXPECT_EQ(between.ask(), (outcome{code::ok, "refused"}));
+        EXPECT_EQ(between.ask("b"), (outcome{code::ok, "refused"}));
+        // Then these share the connection, but the refused request doesn't
+        EXPECT_EQ(between.ask("c"), (outcome{code::ok, "c"}));
+        EXPECT_EQ(between.server().connections(), 1U);
+        EXPECT_EQ(between.ask(), (outcome{code::ok, "mine"}));
+        EXPECT_EQ(between.server().connections(), 2U);
+    }
+    {
+        // Given a copy that comes together with the answer to another request, then it is skipped
+        conversation other({{refusal, refusal + message("200 OK", "b", "b")}}, ending::kept);
+        EXPECT_EQ(other.ask(), (outcome{code::ok, "refused"}));
+        EXPECT_EQ(other.ask("b"), (outcome{code::ok, "b"}));
+        EXPECT_EQ(other.server().connections(), 1U);
+    }
+}
+
+// A connection that remembered only its latest refusals would mix up the earlier ones, and one that
+// remembered all would grow without bound.
+TEST(http_client_answers, a_connection_with_many_refusals_is_replaced)
+{
+    // Given a server that refuses more requests than a connection remembers
+    constexpr std::size_t remembered = 64;
+    constexpr std::size_t requests = 3 * remembered;
+    std::vector<support::scripted_server::scripts> refusals(requests / remembered);
+    for (std::size_t i = 0; i < requests; ++i)
+        refusals[i / remembered].push_back(message("503 Busy", std::to_string(i), "refused"));
+    conversation busy(std::move(refusals), ending::kept);
+    // Then each request gets its refusal, and each connection takes as many as it remembers
+    for (std::size_t i = 0; i < requests; ++i)
+        ASSERT_EQ(busy.ask(std::to_string(i)), (outcome{code::ok, "refused"})) << i;
+    EXPECT_EQ(busy.server().connections(), requests / remembered);
+}
+
 // Bytes that arrive while no request waits belong to none: a refusal among them would count for the next.
 TEST(http_client_answers, a_refusal_that_comes_again_closes_an_idle_connection)
 {
