Answers and requests that are cut anywhere count as broken: tests

Reported from another operator: a backend server stopped in the middle of its answer's head and closed, and callers got a 200 with an empty or short body that looked whole.

It can't happen here: the reader makes whatever is incomplete at the end of the stream malformed, and asks the parser only once the head is complete; after a reset the client doesn't ask at all. The tests covered three cuts. They now cover each byte of a head with, without a length, chunked, and interim; chunk sizes, chunks and trailers; each alone, after the answer to another request, after an interim head, and after both; closed and reset.

The server's side: a request cut at any byte is not handled.

No functional change

--- a/tests/base/http_answers_test.cpp
+++ b/tests/base/http_answers_test.cpp
@@ -217,6 +217,44 @@
               (std::vector<outcome>{{code::ok, "refused"}, {code::ok, "next"}}));
 }
 
+// A server that breaks off before the end of its answer's head has said nothing about the body: a 200 with an
+// empty or short body that looks whole would reach the caller.
+TEST(http_client_answers, whose_head_is_cut_are_broken)
+{
+    const std::string late = message("200 OK", "old", "old");
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    const std::string head = "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 12\r\n\r\n";
+    const std::string unstated = "HTTP/1.1 200 OK\r\nId: mine\r\n\r\n";
+    const std::string chunked = "HTTP/1.1 200 OK\r\nId: mine\r\nTransfer-Encoding: chunked\r\n\r\n";
+    // Given the beginnings of each head, at each byte
+    std::vector<std::string> cut;
+    for (const std::string& whole :
+         {head, unstated, chunked, std::string("HTTP/1.1 103 Hints\r\nA: b\r\n\r\n")})
+        for (std::size_t bytes = 0; bytes < whole.size(); ++bytes)
+            cut.push_back(whole.substr(0, bytes));
+    // And answers that are cut in a chunk's size, after a chunk, before the last line, or after an interim
+    // head
+    for (const char* body : {"", "1", "10", "10\r", "3\r\n", "3\r\nall", "3\r\nall\r\n", "3\r\nall\r\n0",
+                             "3\r\nall\r\n0\r\n", "3\r\nall\r\n0\r\nA: b\r\n"})
+        cut.push_back(chunked + body);
+    for (const char* body : {"", "all"})
+        cut.push_back(head + body);
+    cut.push_back(interim);
+
+    // When the connection is closed or reset there, also after the answer to another request or an interim
+    // one
+    for (const ending how : {ending::closed, ending::reset})
+        for (const std::string& before : {std::string(), late, interim, late + interim})
+            for (const std::string& bytes : cut) {
+                SCOPED_TRACE(before + bytes);
+                // Then the request has no answer
+                EXPECT_EQ(conversation({{before + bytes}}, how).ask().code_, code::answer_incomplete);
+            }
+    // And an answer that ends with its connection is broken by a reset
+    for (const char* body : {"", "all"})
+        EXPECT_EQ(conversation({{unstated + body}}, ending::reset).ask().code_, code::answer_incomplete);
+}
+
 class http_server : public testing::Test {
 protected:
     http_server()
@@ -269,6 +307,26 @@
     EXPECT_FALSE(exchanges_[0]->open());
 }
 
+// A caller that breaks off in a request's head has asked for nothing: what is there of it must not be
+// handled.
+TEST_F(http_server, handles_no_request_that_is_cut)
+{
+    const std::string whole = "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody";
+    // Given callers that send the beginning of a request, up to each byte, and close, also behind a whole one
+    for (std::size_t bytes = 0; bytes < whole.size(); ++bytes) {
+        support::raw_connection caller(at_);
+        ASSERT_TRUE(caller.send(whole.substr(0, bytes)));
+        support::raw_connection behind(at_);
+        ASSERT_TRUE(behind.send("GET /b HTTP/1.1\r\n\r\n" + whole.substr(0, bytes)));
+        run_for(loop_, std::chrono::milliseconds(5));
+    }
+    settle();
+    // Then only the whole ones are handled
+    EXPECT_EQ(exchanges_.size(), whole.size());
+    for (const auto& e : exchanges_)
+        EXPECT_EQ(e->received().target_, "/b");
+}
+
 TEST_F(http_server, closes_after_the_answer_that_says_so)
 {
     support::raw_connection caller(at_);
