A chunk's size line and a trailer are bounded like a head

What a process would see: memory that grows until the timeout while a server sends a chunk's size, its extension or a trailer without end.

Cause: the parser takes nothing of such a line before its end and bounds only heads, and the client kept all that arrived. Where answers are read in parts (those of backend servers) it stopped at 1 MB and held the connection until the timeout; the clients that read whole answers (the store, the operators' commands) had no bound.

Change: what is left of a head, a size line or a trailer may be as large as a head; more is malformed, at once. The same holds for requests.

Tests, which failed before: http_reader.bounds_the_lines_between_chunks_and_the_ trailer, and http_client_answers.that_never_end_are_broken_and_cost_bounded_ memory in four of its 24 cases (67 to 73 MB taken in half a second by a client that reads whole answers). Its other cases passed before: bytes that aren't HTTP, endless status lines, fields, answers to others and interim heads.

--- a/src/base/http_reader.cpp
+++ b/src/base/http_reader.cpp
@@ -137,8 +137,15 @@
         return 0;
     error_code ec;
     const std::size_t taken = parser_->put(bytes, ec);
-    if (!ec || ec == beast::http::error::need_more)
+    if (!ec)
         return taken;
+    if (ec == beast::http::error::need_more) {
+        // What is left is the beginning of a head, a chunk's size line or a trailer. The parser bounds only
+        // the first.
+        if (bytes.size() - taken > limits_.head_)
+            fault_ = head_done_ ? read_fault::malformed : read_fault::head_too_large;
+        return taken;
+    }
     if (ec == beast::http::error::header_limit)
         fault_ = read_fault::head_too_large;
     else if (ec == beast::http::error::body_limit)
--- a/src/base/http_reader.h
+++ b/src/base/http_reader.h
@@ -18,7 +18,8 @@
 // Why a message is refused.
 enum class read_fault : std::uint8_t { malformed, head_too_large, body_too_large };
 
-// Maximum sizes of one message, in bytes.
+// Maximum sizes of one message, in bytes. The one of the head also holds for each chunk's size line and for
+// the trailer.
 struct message_limits {
     std::size_t head_ = 16 * 1024;
     std::size_t body_ = 1024 * 1024;
--- a/tests/base/http_answers_test.cpp
+++ b/tests/base/http_answers_test.cpp
@@ -2,6 +2,7 @@
 // another one, and no incomplete answer may pass for a complete one.
 
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include "base/http.h"
 #include "support/process.h"
@@ -23,6 +24,34 @@
 
 using ending = support::scripted_server::ending;
 
+#ifdef __SANITIZE_ADDRESS__
+constexpr bool frees_at_once = false; // the address sanitizer holds back freed memory
+#else
+constexpr bool frees_at_once = true;
+#endif
+
+// The most memory that this process holds while a loop runs, in MB above what it held before.
+class peak_memory {
+public:
+    explicit peak_memory(event_loop& loop)
+        : before_(support::resident_mb(getpid())), sample_(loop, [this] { sample(); })
+    {
+        sample();
+    }
+    double growth_mb() const { return peak_ - before_; }
+
+private:
+    void sample()
+    {
+        peak_ = std::max(peak_, support::resident_mb(getpid()));
+        sample_.arm(std::chrono::milliseconds(10));
+    }
+
+    double before_;
+    double peak_ = 0;
+    timer sample_;
+};
+
 struct outcome {
     code code_ = code::ok;
     std::string body_;
@@ -61,11 +90,29 @@
         loop_.run();
         return seen;
     }
+    // The result of a request of a client that reads the answer in parts and keeps none of them.
+    outcome read_parts()
+    {
+        outcome seen;
+        client_.stream(1, {"GET", "/", {{"Id", "mine"}}, ""}, std::chrono::milliseconds(500),
+                       [&](const http::response_event& e) {
+                           const auto* failed = std::get_if<error>(&e);
+                           const auto* start = std::get_if<http::response_start>(&e);
+                           const auto* part = std::get_if<http::response_part>(&e);
+                           seen.code_ = failed ? failed->code_ : code::ok;
+                           if (failed || (start && start->complete_) || (part && part->complete_))
+                               loop_.stop();
+                       });
+        loop_.run();
+        return seen;
+    }
     void settle() { run_for(loop_, std::chrono::milliseconds(50)); }
     support::scripted_server& server() { return server_; }
+    double memory_growth_mb() const { return memory_.growth_mb(); }
 
 private:
     event_loop loop_;
+    peak_memory memory_{loop_};
     http::address at_{"127.0.0.1", support::free_port()};
     support::scripted_server server_;
     http::client client_{
@@ -255,6 +302,61 @@
         EXPECT_EQ(conversation({{unstated + body}}, ending::reset).ask().code_, code::answer_incomplete);
 }
 
+// A faulty server sends bytes that are no answer until the connection is closed. What is kept of them must
+// not grow with them.
+TEST(http_client_answers, that_never_end_are_broken_and_cost_bounded_memory)
+{
+    const std::string late = message("200 OK", "old", "old");
+    const std::string chunked = "HTTP/1.1 200 OK\r\nId: mine\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const auto repeated = [](const std::string& of) {
+        std::string all;
+        while (all.size() < 64 * 1024)
+            all += of;
+        return all;
+    };
+    struct endless {
+        std::string what_;
+        std::string first_;
+        std::string then_;
+    };
+    // Given servers that send without end
+    for (const endless& e : {
+             endless{"bytes that aren't HTTP", "", "\x16\x03\x01"},
+             endless{"a status line", "HTTP/1.1 200 ", "x"},
+             endless{"a field", "HTTP/1.1 200 OK\r\nA: ", "x"},
+             endless{"fields", "HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+             endless{"a status line after an answer to another request", late + "HTTP/1.1 200 ", "x"},
+             endless{"a chunk's size", chunked, "0"},
+             endless{"a chunk's extension", chunked + "1;", "x"},
+             endless{"a field after the last chunk", chunked + "0\r\nA: ", "x"},
+             endless{"fields after the last chunk", chunked + "0\r\n", "A: b\r\n"},
+         })
+        for (const bool in_parts : {false, true}) {
+            SCOPED_TRACE(e.what_ + (in_parts ? " to a client that reads in parts" : ""));
+            conversation c({{e.first_ + e.then_, repeated(e.then_)}}, ending::repeated);
+            // When a client waits for its answer, then it has none, and it has read no more than the largest
+            // head, or as far ahead as it may
+            EXPECT_EQ((in_parts ? c.read_parts() : c.ask()).code_, code::answer_incomplete);
+            constexpr std::size_t allowed = 16UL * 1024 * 1024; // mostly the sockets' buffers
+            EXPECT_LT(c.server().bytes_written(), allowed);
+        }
+    // And those that send what is skipped, which only the timeout ends
+    for (const endless& e : {
+             endless{"answers to other requests", late, late},
+             endless{"interim heads", "HTTP/1.1 103 Hints\r\n\r\n", "HTTP/1.1 103 Hints\r\n\r\n"},
+             endless{"the body of another request's answer", "HTTP/1.1 200 OK\r\nId: old\r\n\r\n", "x"},
+         })
+        for (const bool in_parts : {false, true}) {
+            SCOPED_TRACE(e.what_ + (in_parts ? " to a client that reads in parts" : ""));
+            conversation c({{e.first_, repeated(e.then_)}}, ending::repeated);
+            EXPECT_EQ((in_parts ? c.read_parts() : c.ask()).code_, code::answer_incomplete);
+            constexpr double allowed_mb = 20;
+            if (frees_at_once) {
+                EXPECT_LT(c.memory_growth_mb(), allowed_mb);
+            }
+        }
+}
+
 class http_server : public testing::Test {
 protected:
     http_server()
--- a/tests/base/http_reader_test.cpp
+++ b/tests/base/http_reader_test.cpp
@@ -69,6 +69,37 @@
     EXPECT_EQ(reader.fault(), read_fault::body_too_large);
 }
 
+// Guards against memory that grows with a chunk's size line or a trailer without end.
+TEST(http_reader, bounds_the_lines_between_chunks_and_the_trailer)
+{
+    constexpr std::size_t bound = 1024;
+    const std::string head = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string filler(bound - 100, 'x');
+    const std::string overlong(2 * bound, 'x');
+    // Given what is within the bound of a head, then it is read
+    for (const std::string& body :
+         {"1;" + filler + "\r\na\r\n0\r\n\r\n", "1\r\na\r\n0\r\nA: " + filler + "\r\n\r\n"})
+        for (const std::size_t piece : {std::size_t{1}, std::size_t{700}, 4 * bound}) {
+            message_reader reader(kind::request, {bound, 10});
+            feed(reader, head + body, piece);
+            EXPECT_TRUE(reader.done());
+            EXPECT_EQ(reader.take_body(), "a");
+        }
+    // And what is larger is malformed, also before its end
+    for (const std::string& body :
+         {"1;" + overlong, "1\r\na\r\n0\r\nA: " + overlong, "000" + std::string(2 * bound, '0')})
+        for (const std::size_t piece : {std::size_t{1}, std::size_t{700}, 4 * bound}) {
+            message_reader reader(kind::request, {bound, 10});
+            feed(reader, head + body, piece);
+            EXPECT_EQ(reader.fault(), read_fault::malformed);
+        }
+    // But a body may be larger than a head
+    message_reader reader(kind::request, {bound, 4 * bound});
+    feed(reader, head + "800\r\n" + std::string(2 * bound, 'b') + "\r\n0\r\n\r\n", 4 * bound);
+    EXPECT_TRUE(reader.done());
+    EXPECT_EQ(reader.body_size(), 2 * bound);
+}
+
 TEST(http_reader, a_response_without_a_length_ends_with_its_connection)
 {
     message_reader reader(kind::response, {});
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -181,9 +181,9 @@
     return (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
 }
 
-double process::resident_mb() const
+double resident_mb(pid_t process)
 {
-    std::istringstream fields(read_file("/proc/" + std::to_string(id_) + "/statm"));
+    std::istringstream fields(read_file("/proc/" + std::to_string(process) + "/statm"));
     double total = 0;
     double resident = 0;
     fields >> total >> resident;
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -15,6 +15,9 @@
 // A fresh folder for files of this run, removed at exit.
 std::string scratch_folder();
 
+// Resident memory of a process, in MB.
+double resident_mb(pid_t process);
+
 // A port on 127.0.0.1 that was free a moment ago; no two calls yield the same.
 std::uint16_t free_port();
 
@@ -37,7 +40,7 @@
     // Processor time used so far, user and system, in seconds.
     double cpu_seconds() const;
     // Resident memory, in MB.
-    double resident_mb() const;
+    double resident_mb() const { return support::resident_mb(id_); }
 
 private:
     bool reap(bool wait);
