A refused request that must run once goes to no gate twice: test

Reported from another operator: copies of refusals counted for requests that came to the same backend server again. Requests that must not run twice don't come again here: the entry leaves out each gate that it has tried. No test showed so; with the line that records the tried gate removed, only the new one of entry_test fails.

Test: entry_test.refused_once_request_goes_to_no_gate_twice.

No functional change

--- a/tests/decide/entry/entry_test.cpp
+++ b/tests/decide/entry/entry_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <deque>
+#include <set>
 
 #include "operator/rules.h"
 
@@ -231,6 +232,30 @@
     EXPECT_EQ(replied_code(), code::outcome_unknown);
 }
 
+// A copy of a backend server's earlier refusal couldn't be told from the answer to a `once` request that
+// comes to it again.
+TEST_F(entry_test, refused_once_request_goes_to_no_gate_twice)
+{
+    for (const auto& [id, why] :
+         {std::pair(first, code::draining), std::pair(second, code::backend_refused)}) {
+        SCOPED_TRACE(name(why));
+        // Given a request that every gate refuses
+        std::set<daemon_name> refused;
+        send_to_gate s = send_request(id, "POST", "/placements");
+        for (std::size_t refusals = 0; refusals < 10; ++refusals) {
+            // Then each of them gets it once
+            EXPECT_TRUE(refused.insert(s.to_).second) << s.to_.str();
+            from_gate(s, refusal{id_of(s), why, {}, 0});
+            if (!sent_again())
+                break;
+            s = sent();
+        }
+        EXPECT_GT(refused.size(), 1U);
+        // And the caller is told that it has not run
+        EXPECT_EQ(replied_code(), why);
+    }
+}
+
 // A `once` request whose gate does not acknowledge it may run later: it may only be sent to
 // another gate after the first one has promised not to run it.
 TEST_F(entry_test, unacknowledged_once_request_is_fenced_over_a_new_connection)
