An answer that names another request isn't the one to a request without an id

Cause: for a request without an id, the HTTP client took whatever answer came first, so also a late one or a copy that names another request.

Change: such an answer is skipped, as for a request with another id.

Test, which failed before: http_client_answers.that_name_no_request_are_no_ refusals_of_a_request_with_an_id, by a case added to it (the late 'refused' was returned in place of the answer without an id).

Signature: (unchanged)

--- a/src/base/http_client.cpp
+++ b/src/base/http_client.cpp
@@ -232,11 +232,11 @@
             return reader_.status() != 101;
         if (reader_.ends_with_connection() && !owner_.rules_.close_delimited_)
             return false; // its end can't be told from a broken connection
-        if (identity_.empty())
+        if (owner_.rules_.identity_header_.empty())
             return true;
         const std::string named = find_header(reader_.all_headers(), owner_.rules_.identity_header_);
         mismatched_ = named != identity_;
-        return !named.empty();
+        return !named.empty() || identity_.empty();
     }
 
     // The buffered bytes, as the start of the response or as a further part.
--- a/tests/base/http_answers_test.cpp
+++ b/tests/base/http_answers_test.cpp
@@ -176,6 +176,11 @@
     // And a request without an id is told by an answer without one that it needs one
     EXPECT_EQ(conversation({{message("400 Bad", "", "no id")}}, ending::kept).ask(""),
               (outcome{code::ok, "no id"}));
+    // And a late answer that names another request isn't the one to a request without an id
+    EXPECT_EQ(conversation({{message("503 Busy", "old", "refused") + message("400 Bad", "", "no id")}},
+                           ending::kept)
+                  .ask(""),
+              (outcome{code::ok, "no id"}));
 }
 
 // A faulty server writes an earlier refusal once more. If the refused request comes again and uses the same
