A stopping daemon takes late requests only if they end before it does

What callers see: after SIGTERM, a request that came on a connection kept open after the notice was passed on, and cut with no answer at drain_timeout_ms if it took longer than what was left. So was any request still open at that time, also one that waited in a gate's queue or for the reply to a fence. A request sent ahead behind another one, and passed on, was dropped when the answer before it closed the connection.

Cause: the end of the notice closed the listening socket alone; the entry knew nothing of a stop. The end of the drain stopped the event loop, whatever was open. 'Connection: close' was added to each answer, whatever was behind it.

Change: the entry gets the times of the stop (entry_stop). After the notice it takes a request if its deadline is not after the end, else refuses it as draining (E410, 503, Retry-After). At the end, 200 ms before the process ends, what is open is answered: must-run-once requests by the reply to a fence (E404 or E405), others E405 (502); answers that have begun are reset. The server marks for closing the answer to the last request that was passed on, and passes no further one on behind it. Idle connections are closed when the notice ends. The socket goes on listening, since the backend server beside the daemon needs new connections for the calls of its running requests. A reload during a stop no longer changes its end.

Ruled out: the stop's end as deadline of late requests (breaks off at the backend server what another daemon could serve whole); refusing all late requests (fails calls of running requests); closing idle connections repeatedly (would hit connections just opened).

--- a/src/base/http_connection.cpp
+++ b/src/base/http_connection.cpp
@@ -100,6 +100,11 @@
     dispatch();
 }
 
+bool server_connection::closes_after(const detail::pending_response& r) const
+{
+    return owner_.closing_ && dispatched_ > 0 && pipeline_[dispatched_ - 1].get() == &r;
+}
+
 void server_connection::refuse(read_fault why)
 {
     stop_reading_ = true;
@@ -116,7 +121,8 @@
 {
     while (stream_ && dispatched_ < pipeline_.size()) {
         const std::shared_ptr<detail::pending_response> next = pipeline_[dispatched_];
-        if (dispatched_ > 0 && !next->answered_ && !is_safe_method(next->request_.method_))
+        const bool may_start_early = !owner_.closing_ && is_safe_method(next->request_.method_);
+        if (dispatched_ > 0 && !next->answered_ && !may_start_early)
             return;
         ++dispatched_;
         if (!next->answered_) // a malformed request is already answered
--- a/src/base/http_connection.h
+++ b/src/base/http_connection.h
@@ -32,6 +32,10 @@
     bool busy() const { return !pipeline_.empty(); }
     bool writing() const { return stream_ && evbuffer_get_length(bufferevent_get_output(stream_)) > 0; }
     bool closing() const { return lingering_; }
+    // True if no request is open or arriving and all answers were passed to the operating system.
+    bool idle() const { return !busy() && !writing() && !lingering_ && unfinished() == 0; }
+    // True if the connection is to close after the answer to this request, one that the handler has got.
+    bool closes_after(const detail::pending_response& r) const;
     // Bytes received so far of a request that has not arrived completely.
     std::size_t unfinished() const;
     // When the last request arrived or the last answer was written; the idle and
--- a/src/base/http_server.cpp
+++ b/src/base/http_server.cpp
@@ -82,6 +82,8 @@
         }
         out += h.name_ + ": " + h.value_ + "\r\n";
     }
+    if (const auto c = connection_.lock(); c && c->closes_after(*pending_))
+        pending_->keep_alive_ = false;
     if (chunked)
         out += "Transfer-Encoding: chunked\r\n";
     if (!pending_->keep_alive_)
@@ -193,9 +195,14 @@
     return std::monostate{};
 }
 
-void server::stop_listening()
+void server::close_idle()
 {
-    listener_.reset();
+    std::vector<std::shared_ptr<server_connection>> idle;
+    for (const auto& c : connections_)
+        if (c->idle())
+            idle.push_back(c);
+    for (const auto& c : idle)
+        c->close(false);
 }
 
 void server::on_accept(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self)
--- a/src/base/http_server.h
+++ b/src/base/http_server.h
@@ -97,8 +97,11 @@
     // Listens on an address; the error is settings_bad_value if it can't be bound.
     status listen(const address& at);
 
-    // Accepts no further connections; open ones stay.
-    void stop_listening();
+    // From now on each connection closes after its next answer. Requests behind others on a connection are
+    // not passed to the handler any more; those that it has got are answered before the connection closes.
+    void close_after_answer() { closing_ = true; }
+    // Closes the connections on which no request is open or arriving.
+    void close_idle();
 
     // Applies to requests that begin from now on.
     void set_limits(const server_limits& limits) { limits_ = limits; }
@@ -129,6 +132,7 @@
     std::unique_ptr<evconnlistener, listener_deleter> listener_;
     std::list<std::shared_ptr<server_connection>> connections_; // oldest first
     timer sweep_;
+    bool closing_ = false; // each connection closes after its next answer
 };
 
 } // namespace guavahaven::http
--- a/src/caller/listener.cpp
+++ b/src/caller/listener.cpp
@@ -38,10 +38,10 @@
     return server_.listen(at);
 }
 
-void listener::stop_accepting()
+void listener::begin_stop(const decide::entry_stop& stop)
 {
-    stopping_ = true;
-    server_.stop_listening();
+    server_.close_after_answer();
+    handle(stop);
 }
 
 void listener::apply_limits(const decide::callers_rule& rule)
@@ -147,9 +147,7 @@
     if (at == exchanges_.end())
         return;
     open_exchange& to = at->second;
-    http::response r = a.response_;
-    if (stopping_)
-        r.headers_.push_back({"Connection", "close"});
+    const http::response& r = a.response_;
     if (!a.complete_) {
         to.exchange_->start(r.status_, r.headers_);
         return write_body(a.exchange_, to, r.body_);
--- a/src/caller/listener.h
+++ b/src/caller/listener.h
@@ -23,10 +23,10 @@
                  send_to_gate);
 
     status listen(const http::address& at);
-    // From now on closes each connection after its next response; requests are still accepted.
-    void close_after_response() { stopping_ = true; }
-    // Accepts no further connections, and closes the open ones after their next response.
-    void stop_accepting();
+    // From now on closes each connection after its next response. Requests are still accepted: all until the
+    // notice is over, then those that end in time (see decide::entry_stop).
+    void begin_stop(const decide::entry_stop& stop);
+    void close_idle_connections() { server_.close_idle(); }
     // Sets the limits for requests that begin from now on. Time limits never go below the built-in defaults.
     void apply_limits(const decide::callers_rule& rule);
 
@@ -60,7 +60,6 @@
     http::server server_;
     std::map<decide::exchange_id, open_exchange> exchanges_;
     decide::exchange_id last_exchange_;
-    bool stopping_ = false;
     // Failures have a rate limit of their own, so that lines about successful requests don't displace them.
     rate_limited_log served_log_{"entry", max_served_lines_per_second};
     rate_limited_log failed_log_{"entry", max_failed_lines_per_second};
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -24,6 +24,8 @@
 constexpr duration stop_check_interval = std::chrono::milliseconds(50);
 constexpr duration leave_propagation_time =
     std::chrono::milliseconds(300); // for gossip to tell the others before the process ends
+// At the end of a stop, for the replies to fences of open requests (100 ms) and for writing the last answers.
+constexpr duration last_answers_time = std::chrono::milliseconds(200);
 constexpr std::size_t max_problems = 16;
 
 // Messages that the tasks post to each other through the mailbox.
@@ -85,7 +87,7 @@
           metrics_server_(loop_, {},
                           [this](const std::shared_ptr<http::exchange>& e) { serve_operator(*e); }),
           control_timer_(loop_, [this] { tick(); }), leave_timer_(loop_, [this] { leave(); }),
-          stop_timer_(loop_, [this] { finish_stop(); })
+          notice_timer_(loop_, [this] { end_notice(); }), stop_timer_(loop_, [this] { finish_stop(); })
     {
     }
 
@@ -347,15 +349,18 @@
     }
 
     // Begins a graceful stop: /readyz fails and connections of callers are closed after their next response,
-    // so that callers move to other daemons. Requests are still accepted until the stop notice is over,
-    // since the backend server beside this daemon goes on running and has no other outbound proxy.
+    // so that callers move to other daemons. All requests are still accepted until the stop notice is over;
+    // then those that end before the process does, since the backend server beside this daemon goes on
+    // running and has no other outbound proxy for the calls that its requests make.
     void begin_stop()
     {
         if (stop_began_)
             return;
         stop_began_ = clock_.now();
+        const duration notice = std::max(settings_.stop_notice_, leave_propagation_time);
+        stop_end_ = *stop_began_ + std::max(settings_.drain_timeout_, notice);
         log_info("daemon", "stopping");
-        caller_.close_after_response();
+        caller_.begin_stop({*stop_began_ + settings_.stop_notice_, stop_end_ - last_answers_time});
         leave_timer_.arm(std::max(duration::zero(), settings_.stop_notice_ - leave_propagation_time));
     }
 
@@ -366,14 +371,20 @@
         log_info("daemon", "leaving");
         backend_.handle(decide::stop_requested{});
         apply(control_.handle(decide::leave_requested{}, clock_.now()));
-        stop_timer_.arm(leave_propagation_time);
+        notice_timer_.arm(leave_propagation_time);
+    }
+
+    // Callers that have not moved yet open their next connection elsewhere.
+    void end_notice()
+    {
+        caller_.close_idle_connections();
+        finish_stop();
     }
 
     void finish_stop()
     {
-        caller_.stop_accepting();
         const bool busy = (backend_.busy() || caller_.busy()) && guard_enabled(guard::graceful_stop);
-        if (!busy || clock_.now() - *stop_began_ > settings_.drain_timeout_)
+        if (!busy || clock_.now() >= stop_end_)
             return loop_.stop();
         stop_timer_.arm(stop_check_interval);
     }
@@ -397,6 +408,7 @@
     http::server metrics_server_;
     timer control_timer_;
     timer leave_timer_;
+    timer notice_timer_;
     timer stop_timer_;
     decide::configuration_ptr in_force_;
     std::set<service_name> moving_services_;
@@ -405,6 +417,7 @@
     operators::sample_ring samples_;
     std::vector<std::string> problems_;
     std::optional<time_point> stop_began_;
+    time_point stop_end_; // when the process ends even if work is in flight; valid once a stop has begun
 };
 
 } // namespace
--- a/src/decide/entry/entry.cpp
+++ b/src/decide/entry/entry.cpp
@@ -86,19 +86,24 @@
     if (depth > max_call_depth)
         return refuse(code::call_depth_exceeded);
 
+    std::optional<duration> requested;
+    if (const auto asked = header_number(e.request_, protocol_.deadline_header_))
+        requested = std::chrono::milliseconds(std::min(*asked, max_requested_timeout_ms));
+    const duration wait = class_of_route->deadline_;
+    const time_point deadline = now + (requested ? std::min(wait, *requested) : wait);
+    if (too_late_to_take(deadline, now))
+        return refuse(code::draining);
+
     request_state& r = requests_[e.exchange_];
     r.exchange_ = e.exchange_;
     r.started_ = now;
-    duration wait = class_of_route->deadline_;
-    if (const auto asked = header_number(e.request_, protocol_.deadline_header_)) {
-        const duration requested = std::chrono::milliseconds(std::min(*asked, max_requested_timeout_ms));
-        wait = std::min(wait, requested);
+    r.deadline_ = deadline;
+    if (requested) {
         duration& longest = longest_timeouts_[route->class_];
-        longest = std::max(longest, requested);
+        longest = std::max(longest, *requested);
         if (class_of_route->objective_ > duration::zero())
-            r.call_.waited_ = longest - requested;
+            r.call_.waited_ = longest - *requested;
     }
-    r.deadline_ = now + wait;
     r.call_.once_ = class_of_route->once_ || (!class_of_route->repeat_ && !idempotent(e.request_.method_));
     r.call_.service_ = choose_service(*route);
     r.call_.class_ = route->class_;
@@ -391,13 +396,27 @@
         balancer_.set_view(*view_, now);
 }
 
+void entry::on(const entry_stop& e, time_point)
+{
+    if (stop_)
+        return;
+    stop_ = e;
+    for (auto& [id, r] : requests_)
+        schedule(r, r.due_);
+}
+
+bool entry::too_late_to_take(time_point deadline, time_point now) const
+{
+    return stop_ && deadline > stop_->end_ && now >= std::min(stop_->notice_end_, stop_->end_);
+}
+
 void entry::on(const entry_tick&, time_point now)
 {
     while (!due_.empty() && due_.begin()->first <= now) {
         request_state& r = requests_.at(due_.begin()->second);
         if (r.expired_)
             handle_unknown_outcome(r, now, code::outcome_unknown);
-        else if (now >= r.deadline_)
+        else if (now >= r.deadline_ || stop_ended(now))
             expire(r, now);
         else if (r.received_)
             schedule(r, r.deadline_);
@@ -443,8 +462,9 @@
     actions_.push_back(send_to_gate{r.gate_, cancel{r.call_.id_}, false});
     if (r.answering_)
         return abort_reply(r, now);
-    close_attempt(r, attempt_end::failed, now);
-    fail(r, now, code::deadline_exceeded);
+    const bool in_time = now < r.deadline_; // the stop ends it
+    close_attempt(r, in_time ? attempt_end::neutral : attempt_end::failed, now);
+    fail(r, now, in_time ? code::outcome_unknown : code::deadline_exceeded);
 }
 
 void entry::fail(request_state& r, time_point now, code why)
@@ -489,8 +509,9 @@
 void entry::schedule(request_state& r, time_point due)
 {
     due_.erase({r.due_, r.exchange_});
-    r.due_ = due;
-    due_.emplace(due, r.exchange_);
+    // After the end of a stop only the reply to a fence is awaited.
+    r.due_ = stop_ && !r.expired_ ? std::min(due, stop_->end_) : due;
+    due_.emplace(r.due_, r.exchange_);
 }
 
 } // namespace guavahaven::decide
--- a/src/decide/entry/entry.h
+++ b/src/decide/entry/entry.h
@@ -53,11 +53,18 @@
 struct entry_view_changed {
     view_ptr view_;
 };
+// The daemon is told to stop. From notice_end_ on, a request is taken only if its deadline is not after end_;
+// what is still open at end_ is answered then.
+struct entry_stop {
+    time_point notice_end_;
+    time_point end_;
+    friend bool operator==(const entry_stop&, const entry_stop&) = default;
+};
 struct entry_tick {
     friend bool operator==(const entry_tick&, const entry_tick&) = default;
 };
 using entry_event = std::variant<caller_request, caller_gone, caller_consumed, gate_message,
-                                 gate_disconnected, entry_view_changed, entry_tick>;
+                                 gate_disconnected, entry_view_changed, entry_stop, entry_tick>;
 
 struct send_to_gate {
     daemon_name to_;
@@ -148,6 +155,7 @@
     void on(const gate_message& e, time_point now);
     void on(const gate_disconnected& e, time_point now);
     void on(const entry_view_changed& e, time_point now);
+    void on(const entry_stop& e, time_point now);
     void on(const entry_tick& e, time_point now);
 
     void receive(request_state& r, const call_ack& m, time_point now);
@@ -188,7 +196,11 @@
     void handle_silence(request_state& r, time_point now);
     // True if the gate's process has ended or can't be reached, as far as membership knows.
     bool gate_lost(const request_state& r) const;
+    // Ends a request at its deadline, or at the end of a stop.
     void expire(request_state& r, time_point now);
+    // True if a stop leaves no time for a request with this deadline.
+    bool too_late_to_take(time_point deadline, time_point now) const;
+    bool stop_ended(time_point now) const { return stop_ && now >= stop_->end_; }
     void fail(request_state& r, time_point now, code why);
     void abort_reply(request_state& r, time_point now);
     void end(request_state& r, time_point now, code result, int status);
@@ -199,6 +211,7 @@
     random_engine random_;
     caller_protocol protocol_;
     view_ptr view_;
+    std::optional<entry_stop> stop_;
     balancer balancer_;
     std::map<service_name, retry_budget> budgets_;
     // The longest timeout that a caller of each class has asked for. A caller that asks
--- a/src/operator/daemon_settings.h
+++ b/src/operator/daemon_settings.h
@@ -22,8 +22,8 @@
     std::vector<daemon_name> seeds_;
     std::string log_level_;
     duration announcement_timeout_{};
-    duration stop_notice_{};           // for callers to leave before a stop; requests are still taken
-    duration drain_timeout_{};         // longest wait for work in flight, from the stop's beginning
+    duration stop_notice_{};           // for callers to leave before a stop; all requests are still taken
+    duration drain_timeout_{};         // longest time from the beginning of a stop to its end
     std::uint16_t metrics_port_ = 0;   // for the metrics alone; 0: none
     double link_bytes_per_second_ = 0; // bandwidth of the machine's network link
     std::string service_;              // of the machine; empty: as the backend server announces
--- a/tests/base/http_answers_test.cpp
+++ b/tests/base/http_answers_test.cpp
@@ -447,4 +447,63 @@
     EXPECT_FALSE(caller.was_reset());
 }
 
+// Guards against dropping requests sent ahead that the handler has got, once the server closes connections.
+TEST_F(http_server, closes_only_after_the_answers_to_all_requests_that_were_passed_on)
+{
+    // Given two requests at the handler, and one that waits behind them
+    support::raw_connection caller(at_);
+    ASSERT_TRUE(caller.send(
+        "GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\nPOST /c HTTP/1.1\r\nContent-Length: 0\r\n\r\n"));
+    settle();
+    ASSERT_EQ(exchanges_.size(), 2U);
+
+    // When the server is to close its connections, and a further request comes
+    server_.close_after_answer();
+    ASSERT_TRUE(caller.send("GET /d HTTP/1.1\r\n\r\n"));
+    settle();
+    EXPECT_EQ(exchanges_.size(), 2U);
+    exchanges_[0]->reply({200, {}, "first"});
+    settle();
+    exchanges_[1]->reply({200, {}, "second"});
+    settle();
+
+    // Then both are answered, the second one closes the connection, and no other reaches the handler
+    EXPECT_TRUE(caller.wait_closed(close_timeout));
+    const std::string& got = caller.received();
+    EXPECT_NE(got.find("first"), std::string::npos);
+    EXPECT_NE(got.find("second"), std::string::npos);
+    EXPECT_GT(got.find("Connection: close"), got.find("first"));
+    EXPECT_EQ(exchanges_.size(), 2U);
+    EXPECT_EQ(gone_, "");
+}
+
+// Guards against closing connections on which a caller still expects something.
+TEST_F(http_server, closes_idle_connections_alone)
+{
+    // Given an idle connection, one with a request under way, and one with a part of a request
+    support::raw_connection idle(at_);
+    support::raw_connection waiting(at_);
+    support::raw_connection arriving(at_);
+    ASSERT_TRUE(waiting.send("GET /a HTTP/1.1\r\n\r\n"));
+    ASSERT_TRUE(arriving.send("GET /b HTTP"));
+    settle();
+    ASSERT_EQ(exchanges_.size(), 1U);
+
+    // When idle connections are closed
+    server_.close_idle();
+    settle();
+
+    // Then the others are served
+    EXPECT_TRUE(idle.wait_closed(close_timeout));
+    EXPECT_FALSE(idle.was_reset());
+    exchanges_[0]->reply({200, {}, "first"});
+    ASSERT_TRUE(arriving.send("/1.1\r\n\r\n"));
+    settle();
+    EXPECT_NE(waiting.read_until("first").find(" 200 "), std::string::npos);
+    ASSERT_EQ(exchanges_.size(), 2U);
+    exchanges_[1]->reply({200, {}, "second"});
+    settle();
+    EXPECT_NE(arriving.read_until("second").find(" 200 "), std::string::npos);
+}
+
 } // namespace guavahaven
--- a/tests/decide/entry/entry_test.cpp
+++ b/tests/decide/entry/entry_test.cpp
@@ -606,4 +606,65 @@
     EXPECT_LT(asked_of_it, calls / 10);
 }
 
+// Guards against taking a request that the end of the process would cut.
+TEST_F(entry_test, request_after_the_notice_of_a_stop_is_taken_only_if_it_ends_in_time)
+{
+    // Given a stop whose notice lasts 1 s and that ends requests after 3 s
+    const auto with_timeout = [](const char* ms) {
+        return http::request{"POST", "/placements", {{"Request-Timeout-Ms", ms}}, ""};
+    };
+    const time_point notice_end = now_ + std::chrono::seconds(1);
+    handle(entry_stop{notice_end, now_ + std::chrono::seconds(3)});
+
+    // When a request comes in the notice, then it is taken whatever its deadline
+    now_ = notice_end - std::chrono::microseconds(1);
+    handle(caller_request{exchange_id(1), {"POST", "/placements", {}, ""}});
+    EXPECT_TRUE(sent_again());
+
+    // When the notice is over, then one is taken whose class's deadline, of 2 s, is the end
+    now_ = notice_end;
+    handle(caller_request{exchange_id(2), {"POST", "/placements", {}, ""}});
+    EXPECT_TRUE(sent_again());
+    // And none that ends later
+    now_ += std::chrono::milliseconds(1);
+    handle(caller_request{exchange_id(3), {"POST", "/placements", {}, ""}});
+    EXPECT_FALSE(sent_again());
+    ASSERT_EQ(replied_code(), code::draining);
+    EXPECT_EQ(replies()[0].response_.status_, 503);
+    EXPECT_NE(http::find_header(replies()[0].response_.headers_, "Retry-After"), "");
+    // The caller's deadline decides if it is the earlier one
+    handle(caller_request{exchange_id(4), with_timeout("1999")});
+    EXPECT_TRUE(sent_again());
+    handle(caller_request{exchange_id(5), with_timeout("2000")});
+    EXPECT_FALSE(sent_again());
+    EXPECT_EQ(replied_code(), code::draining);
+}
+
+// Guards against a connection closed without an answer for what is still open when the process ends.
+TEST_F(entry_test, open_requests_are_answered_when_a_stop_ends)
+{
+    // Given a lookup and two requests that must run once, and a stop that ends before their deadlines
+    const send_to_gate lookup = send_request(exchange_id(1), "GET", "/shifts/1");
+    const send_to_gate queued = send_request(exchange_id(2), "POST", "/placements");
+    const send_to_gate running = send_request(exchange_id(3), "POST", "/placements");
+    for (const send_to_gate& s : {lookup, queued, running})
+        from_gate(s, call_ack{id_of(s)});
+    const time_point end = now_ + std::chrono::milliseconds(300);
+    handle(entry_stop{now_, end});
+    EXPECT_EQ(entry_.next_due(), end);
+
+    // When it ends, then the lookup is cancelled, and nobody claims that it has not run
+    advance(std::chrono::milliseconds(300));
+    ASSERT_EQ(replied_code(), code::outcome_unknown);
+    EXPECT_EQ(replies()[0].exchange_, exchange_id(1));
+    // And the gate is asked what became of the others
+    EXPECT_FALSE(sent_again());
+    from_gate(queued, fence_reply{id_of(queued), {}, run_status::never_ran});
+    EXPECT_EQ(replied_code(), code::not_run);
+    advance(std::chrono::milliseconds(100));
+    ASSERT_EQ(replied_code(), code::outcome_unknown);
+    EXPECT_EQ(replies()[0].exchange_, exchange_id(3));
+    EXPECT_FALSE(entry_.busy());
+}
+
 } // namespace guavahaven::decide
