A fleet that starts just after its first configuration serves keyed requests

Cause: a replica of a key counted in its first two minutes only if it had started before the time that the author wrote into configuration 1.

Change: configuration 1 comes into force 2 s after that time, by each daemon's own clock, and a daemon that started within 1 s after it counts. The argument is in docs/design/at-most-once.md. A daemon that holds configuration 1 back because its author's clock is ahead reports E209. Ruled out: a mark in the platform that the first keyed request changes (same page).

Tests, with the old rule put back: fresh_fleet.serves_keyed_requests_though_its_ daemons_start_after_the_configuration failed (0 of 4 served, E405), also non_idempotent_request_runs_at_most_once.at_a_daemon_that_has_just_started_only_ if_nothing_ran_before, four of starting_daemon.*, and without its line publishing.states_no_earlier_time_than_the_configuration_before. Passed with both: non_idempotent_request_runs_at_most_once.when_all_daemons_are_restarted. gate_harness: the configuration is an hour older than the gate, no longer 1 us.

--- a/src/base/result.cpp
+++ b/src/base/result.cpp
@@ -48,6 +48,8 @@
     entry{code::started_unconfirmed, "started_unconfirmed",
           "check the platform's address and the seeds; the daemon serves by what it has"},
     entry{code::platform_history_gone, "platform_history_gone", "nothing; the daemon reads everything anew"},
+    entry{code::configuration_ahead_of_clock, "configuration_ahead_of_clock",
+          "correct the clock of the machine that applied the first rules, then apply them again there"},
     entry{code::frame_malformed, "frame_malformed", "check that only daemons talk to the peer port"},
     entry{code::frame_too_large, "frame_too_large", "check that only daemons talk to the peer port"},
     entry{code::frame_protocol_version, "frame_protocol_version", "bring both daemons to the same release"},
--- a/src/base/result.h
+++ b/src/base/result.h
@@ -42,6 +42,7 @@
     configuration_conflict = 206,
     started_unconfirmed = 207,
     platform_history_gone = 208,
+    configuration_ahead_of_clock = 209,
 
     frame_malformed = 300,
     frame_too_large = 301,
--- a/src/decide/control.cpp
+++ b/src/decide/control.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "decide/configuration/first_configuration.h"
+
 namespace guavahaven::decide {
 
 namespace {
@@ -35,6 +37,8 @@
 control_actions control::handle(const control_event& event, time_point now)
 {
     std::visit([&](const auto& e) { on(e, now); }, event);
+    if (configuration_replica_.record() && !first_known_)
+        first_known_ = now;
     flush_updates(now);
     return std::exchange(actions_, {});
 }
@@ -145,8 +149,10 @@
     }
     if (now - last_digest_ >= digest_interval)
         exchange_digests(now);
-    if (sweep)
+    if (sweep) {
         update_watch(now);
+        report_held_back(now);
+    }
 }
 
 // After a suspension of this process, not having heard from others says nothing about them.
@@ -298,7 +304,7 @@
         view_stale_ = true;
         last_flush_ = now;
     }
-    const bool show = configuration_stale_ && readiness_.ready();
+    const bool show = configuration_stale_ && may_serve(now);
     if (show || (view_stale_ && due))
         publish(now);
 }
@@ -321,10 +327,10 @@
             configuration_replica_.hash()};
 }
 
-// Until the daemon is ready, the view has no configuration, so that entry and gate serve nothing.
+// Until the daemon may serve, the view has no configuration, so that entry and gate serve nothing.
 void control::publish(time_point now)
 {
-    const configuration_ptr shown = readiness_.ready() ? rules_ : nullptr;
+    const configuration_ptr shown = may_serve(now) ? rules_ : nullptr;
     view_ = std::make_shared<const view>(
         view{shown, membership_.members(), effective_moves(), returns_.returning(now), moves_.abandoned()});
     view_stale_ = false;
@@ -333,6 +339,27 @@
     actions_.push_back(publish_view{view_});
 }
 
+bool control::may_serve(time_point now) const
+{
+    if (view_ && view_->configuration_)
+        return true;
+    const std::optional<configuration_record>& record = configuration_replica_.record();
+    return readiness_.ready() && first_known_ && !held_back(*record, wall_, now - *first_known_);
+}
+
+// The delay alone is no problem; an author's clock that is ahead adds to it.
+void control::report_held_back(time_point now)
+{
+    if (held_back_reported_ || !first_known_ || now - *first_known_ < 2 * first_configuration_delay ||
+        may_serve(now) || !readiness_.ready())
+        return;
+    held_back_reported_ = true;
+    const configuration_record& record = *configuration_replica_.record();
+    actions_.push_back(report_problem{
+        {code::configuration_ahead_of_clock, "configuration " + std::to_string(record.number_.value()) +
+                                                 " by " + record.author_ + " is not in force yet"}});
+}
+
 void control::judge_moves()
 {
     const configuration_ptr& c = rules_;
--- a/src/decide/control.h
+++ b/src/decide/control.h
@@ -177,6 +177,8 @@
     void send(const daemon_name& to, control_message message, bool fresh_connection = false);
     digest own_digest() const;
     void publish(time_point now);
+    bool may_serve(time_point now) const;
+    void report_held_back(time_point now);
     void update_watch(time_point now);
     void detect_pause(time_point now);
     void judge_moves();
@@ -200,7 +202,9 @@
     view_ptr view_;
     std::map<daemon_name, pending_update> pending_updates_; // not yet sent to the neighbours
     bool view_stale_ = false;
-    bool configuration_stale_ = false; // the view lacks the configuration in force
+    bool configuration_stale_ = false;      // the view lacks the configuration in force
+    std::optional<time_point> first_known_; // since when this daemon has had a configuration
+    bool held_back_reported_ = false;
     bool watching_ = false;
     time_point started_;
     time_point last_tick_;
--- a/src/decide/gate/gate.cpp
+++ b/src/decide/gate/gate.cpp
@@ -4,6 +4,7 @@
 
 #include "base/guards.h"
 #include "base/hash.h"
+#include "decide/configuration/first_configuration.h"
 
 namespace guavahaven::decide {
 
@@ -14,7 +15,6 @@
 constexpr int late_wait_factor = 2; // more urgent calls overtake a late one, so its estimated wait is doubled
 constexpr std::uint32_t default_cold_requests_per_second = 10; // if the rules state none for the service
 constexpr std::size_t max_waiters = 8;                         // attempts that share the response of one run
-constexpr std::uint64_t first_configuration_number = 1;
 
 } // namespace
 
@@ -392,7 +392,7 @@
         cold_limiter_.assume_cold(now);
     }
     const configuration_ptr& c = view_->configuration_;
-    if (c && c->number_.value() == first_configuration_number && c->written_at_ > started_.value())
+    if (c && started_before_first_request(started_, *c))
         key_replica_.set_complete();
 }
 
--- a/src/decide/gate/key_replica.h
+++ b/src/decide/gate/key_replica.h
@@ -67,8 +67,8 @@
 public:
     explicit key_replica_store(time_point started) : started_(started) {}
 
-    // Call if no configuration was in force anywhere before this daemon started: nothing ran before, so no
-    // record can be missing here.
+    // Call if no configuration was in force anywhere before this daemon started (see
+    // first_configuration.h): nothing ran before, so no record can be missing here.
     void set_complete() { complete_ = true; }
 
     key_claim_reply handle(const key_claim& claim, time_point now);
--- a/src/operator/publisher.cpp
+++ b/src/operator/publisher.cpp
@@ -34,7 +34,10 @@
     decide::configuration_record ours;
     ours.number_ = std::max(base.record_.number_, above).next();
     ours.author_ = author;
-    ours.written_at_ = static_cast<std::uint64_t>(now.time_since_epoch().count());
+    // Not before the previous one, whose author's clock may be ahead: a daemon holds a configuration back
+    // until it is some seconds old.
+    ours.written_at_ =
+        std::max(base.record_.written_at_, static_cast<std::uint64_t>(now.time_since_epoch().count()));
     ours.text_ = text;
     write(base.object_version_, ours, write_tries, std::move(handler));
 }
--- a/tests/decide/control_test.cpp
+++ b/tests/decide/control_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "decide/configuration/first_configuration.h"
 #include "decide/control.h"
 
 namespace guavahaven::decide {
@@ -32,6 +33,7 @@
 
 struct started_daemon {
     time_point now_{seconds(100)};
+    wall_time wall_{}; // of the next tick
     control control_{daemon_at("a"), 1, parse, now_};
 
     control_actions handle(const control_event& e) { return control_.handle(e, now_); }
@@ -42,7 +44,8 @@
         control_actions all;
         for (const time_point end = now_ + time; now_ < end;) {
             now_ += milliseconds(50);
-            for (control_action& a : handle(control_tick{}))
+            wall_ += milliseconds(50);
+            for (control_action& a : handle(control_tick{wall_}))
                 all.push_back(std::move(a));
         }
         return all;
@@ -59,6 +62,16 @@
     return {configuration_number(number), "test", 0, text};
 }
 
+std::uint64_t microseconds_of(wall_time t)
+{
+    return static_cast<std::uint64_t>(t.time_since_epoch().count());
+}
+
+configuration_record written(std::uint64_t number, wall_time at)
+{
+    return {configuration_number(number), "test", microseconds_of(at), "text " + std::to_string(number)};
+}
+
 template <class Message>
 const Message* find_sent(const control_actions& actions, const daemon_name& to)
 {
@@ -97,6 +110,99 @@
     EXPECT_TRUE(d.serves(5));
 }
 
+// A daemon that starts within a second after the first configuration was written counts as one that missed no
+// request. Guards against another daemon that serves before it has started.
+TEST(starting_daemon, serves_by_the_first_configuration_only_two_seconds_after_it_was_written)
+{
+    // Given a daemon whose clock differs from the author's, either way
+    for (const duration ahead : {milliseconds(0), milliseconds(700), milliseconds(-700)}) {
+        started_daemon d;
+        d.wall_ = wall_time(seconds(1000)) + ahead;
+        d.pass(milliseconds(100));
+
+        // When the first configuration is written, and a daemon starts just before it no longer counts
+        d.handle(platform_configuration{written(1, wall_time(seconds(1000)))});
+        d.handle(platform_read_result{true});
+        configuration in_force;
+        in_force.number_ = first_configuration;
+        in_force.written_at_ = microseconds_of(wall_time(seconds(1000)));
+        const wall_time last_start = wall_time(seconds(1001)) - duration(1);
+        ASSERT_TRUE(started_before_first_request(incarnation(microseconds_of(last_start)), in_force));
+        ASSERT_FALSE(started_before_first_request(incarnation(microseconds_of(last_start) + 1), in_force));
+
+        // Then this one serves only once its clock is further than the clocks may differ
+        while (!d.serves(1) && d.wall_ < wall_time(seconds(1010)))
+            d.pass(milliseconds(50));
+        EXPECT_TRUE(d.serves(1));
+        EXPECT_GE(d.wall_, last_start + max_clock_difference);
+        EXPECT_LT(d.wall_, wall_time(seconds(1002)) + milliseconds(100));
+    }
+}
+
+// Guards against a daemon that serves by the second configuration before the first one may be in force.
+TEST(starting_daemon, holds_back_a_second_configuration_that_follows_at_once)
+{
+    const wall_time start(seconds(1000));
+    for (const bool first_seen : {true, false}) {
+        started_daemon d;
+        d.wall_ = start;
+        d.pass(milliseconds(100));
+        d.handle(platform_read_result{true});
+        if (first_seen)
+            d.handle(platform_configuration{written(1, start)});
+        d.handle(platform_configuration{written(2, start + milliseconds(50))});
+        d.pass(milliseconds(1800));
+        EXPECT_FALSE(d.serves(2));
+        d.pass(milliseconds(200));
+        EXPECT_TRUE(d.serves(2));
+
+        // Later ones are in force at once
+        d.handle(platform_configuration{written(3, d.wall_)});
+        EXPECT_TRUE(d.serves(3));
+    }
+}
+
+// A daemon that starts in a mesh at work does not wait for the delay of its first configuration, nor for an
+// author's clock that is ahead.
+TEST(starting_daemon, waits_two_seconds_at_most_for_a_later_configuration)
+{
+    const wall_time start(seconds(1000));
+    started_daemon d;
+    d.wall_ = start;
+    d.pass(milliseconds(100));
+    d.handle(platform_read_result{true});
+    d.handle(platform_configuration{written(7, start - seconds(2))});
+    EXPECT_TRUE(d.serves(7));
+
+    started_daemon other_clock;
+    other_clock.wall_ = start;
+    other_clock.pass(milliseconds(100));
+    other_clock.handle(platform_read_result{true});
+    other_clock.handle(platform_configuration{written(7, start + std::chrono::hours(1))});
+    other_clock.pass(milliseconds(1900));
+    EXPECT_FALSE(other_clock.serves(7));
+    other_clock.pass(milliseconds(150));
+    EXPECT_TRUE(other_clock.serves(7));
+}
+
+// With an author's clock that is ahead, a daemon that starts later would count although requests ran before:
+// guards against serving before the stated time, and against waiting for it in silence.
+TEST(starting_daemon, waits_for_a_first_configuration_that_is_ahead_of_its_clock_and_reports_it)
+{
+    const wall_time start(seconds(1000));
+    started_daemon d;
+    d.wall_ = start;
+    d.pass(milliseconds(100));
+    d.handle(platform_read_result{true});
+    d.handle(platform_configuration{written(1, start + seconds(60))});
+    EXPECT_FALSE(has_problem(d.pass(seconds(3)), code::configuration_ahead_of_clock));
+    EXPECT_TRUE(has_problem(d.pass(seconds(2)), code::configuration_ahead_of_clock));
+    EXPECT_FALSE(has_problem(d.pass(seconds(50)), code::configuration_ahead_of_clock));
+    EXPECT_FALSE(d.serves(1));
+    d.pass(seconds(8));
+    EXPECT_TRUE(d.serves(1));
+}
+
 // A platform outage must not keep a started daemon from serving.
 TEST(starting_daemon, serves_by_its_neighbours_when_the_platform_is_down)
 {
--- a/tests/decide/gate/key_replica_test.cpp
+++ b/tests/decide/gate/key_replica_test.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 
+#include "decide/configuration/first_configuration.h"
 #include "decide/gate/key_replica.h"
 #include "support/gate_harness.h"
 
@@ -235,4 +236,40 @@
     EXPECT_TRUE(silent.g_.runs_.empty());
 }
 
+// Guards against a fleet that refuses keyed requests for two minutes because its daemons started some tens of
+// milliseconds after its first configuration was written, and against a restarted daemon that counts.
+TEST(non_idempotent_request_runs_at_most_once, at_a_daemon_that_has_just_started_only_if_nothing_ran_before)
+{
+    using std::chrono::milliseconds;
+    struct start {
+        duration after_writing_;
+        bool served_;
+    };
+    for (const start& s : {start{milliseconds(-1), true}, start{milliseconds(80), true},
+                           start{milliseconds(900), true}, start{milliseconds(1000), false},
+                           start{milliseconds(5000), false}, start{std::chrono::hours(1), false}}) {
+        // Given a daemon that started so long after the first configuration was written
+        gate_harness g;
+        g.written_at_ =
+            gate_harness::started - static_cast<std::uint64_t>(s.after_writing_.count()); // also below 0
+        g.set_members({g.self_.str()});
+
+        // When a keyed request comes at once
+        g.send(g.make_keyed(1, "k"));
+
+        // Then it runs just if no daemon can have served a request before this one started
+        EXPECT_EQ(g.runs_.size(), s.served_ ? 1U : 0U) << s.after_writing_.count();
+        EXPECT_EQ(g.refused(), s.served_ ? code::ok : code::outcome_unknown) << s.after_writing_.count();
+    }
+
+    // And a later configuration, or one whose author's time is not known, proves nothing
+    decide::configuration later;
+    later.number_ = configuration_number(2);
+    later.written_at_ = gate_harness::started + 1;
+    EXPECT_FALSE(decide::started_before_first_request(incarnation(gate_harness::started), later));
+    decide::configuration untimed;
+    untimed.number_ = configuration_number(1);
+    EXPECT_FALSE(decide::started_before_first_request(incarnation(1), untimed));
+}
+
 } // namespace guavahaven
--- a/tests/integration/at_most_once_test.cpp
+++ b/tests/integration/at_most_once_test.cpp
@@ -3,8 +3,11 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <thread>
 
+#include "decide/entry/entry.h"
+#include "operator/publisher.h"
 #include "support/once_load.h"
 #include "support/rules_text.h"
 
@@ -44,8 +47,94 @@
     EXPECT_GT(counts.done_, 0U);
 }
 
+// Results of one keyed request through each entry, with keys that begin so.
+std::vector<code> send_keyed(support::mesh& mesh, const std::string& key)
+{
+    std::vector<code> results;
+    for (std::size_t i = 0; i < mesh.nodes().size(); ++i) {
+        const std::string name = key + std::to_string(i);
+        const auto r = support::fetch(
+            mesh.at(i).callers(),
+            {"POST", "/placements/" + name, {{decide::caller_protocol().key_header_, name}}, "maria"});
+        if (!ok(r)) {
+            results.push_back(failure(r).code_);
+            continue;
+        }
+        const std::string text =
+            http::find_header(value(r).headers_, decide::caller_protocol().result_header_);
+        results.push_back(text.empty() ? code::ok : static_cast<code>(std::stoi(text)));
+    }
+    return results;
+}
+
+// Writes the configuration as an author whose clock shows this time.
+void write_first_configuration(const support::mesh& mesh, const std::string& rules, wall_time at)
+{
+    event_loop loop;
+    object_store::store store(loop, mesh.platform());
+    operators::publisher publisher(store);
+    publisher.publish({}, configuration_number(), "tests", rules, at,
+                      [&](const result<operators::publish_outcome>& r) {
+                          EXPECT_TRUE(ok(r));
+                          loop.stop();
+                      });
+    loop.run();
+}
+
+std::size_t count(const std::vector<code>& results, code c)
+{
+    return static_cast<std::size_t>(std::count(results.begin(), results.end(), c));
+}
+
 } // namespace
 
+// Guards against refusing keyed requests for two minutes: daemons that start just after the first
+// configuration of their mesh was written counted as restarted ones, which may have lost records.
+TEST(fresh_fleet, serves_keyed_requests_though_its_daemons_start_after_the_configuration)
+{
+    // Given daemons that have started
+    support::mesh mesh(four_nodes());
+    const auto all_answer = [&] {
+        return std::all_of(mesh.nodes().begin(), mesh.nodes().end(),
+                           [](const support::node& n) { return ok(n.status()); });
+    };
+    ASSERT_TRUE(support::wait_until(all_answer));
+
+    // When the first configuration says that it was written 0.9 s ago, when none of them may have run
+    const wall_time written = runtime_clock().wall() - std::chrono::milliseconds(900);
+    write_first_configuration(mesh, support::confirmation_rules(), written);
+    ASSERT_TRUE(mesh.wait_ready(1));
+
+    // Then keyed requests run
+    const std::vector<code> results = send_keyed(mesh, "k");
+    EXPECT_EQ(count(results, code::ok), results.size()) << to_string(error{results.front(), ""});
+}
+
+// Guards against a second run by replicas that have lost their records together: all daemons die.
+TEST(non_idempotent_request_runs_at_most_once, when_all_daemons_are_restarted)
+{
+    // Given requests that ran
+    support::mesh mesh(four_nodes());
+    ASSERT_EQ(mesh.apply(support::confirmation_rules()).status_, 0);
+    ASSERT_TRUE(mesh.wait_ready(1));
+    send_keyed(mesh, "k");
+
+    // When all daemons die and start again, and callers repeat the keys and send others
+    for (support::node& n : mesh.nodes())
+        n.daemon_->kill();
+    for (support::node& n : mesh.nodes())
+        n.start_daemon();
+    ASSERT_TRUE(mesh.wait_ready(1));
+    const std::size_t runs_before = mesh.journal().size();
+    std::vector<code> results = send_keyed(mesh, "k");
+    const std::vector<code> others = send_keyed(mesh, "other");
+    results.insert(results.end(), others.begin(), others.end());
+
+    // Then none of them runs, since nobody can tell whether it has run
+    EXPECT_EQ(count(results, code::outcome_unknown), results.size());
+    EXPECT_EQ(mesh.journal().size(), runs_before);
+}
+
 TEST(non_idempotent_request_runs_at_most_once, while_connections_are_silent_and_answers_lost)
 {
     support::mesh mesh(four_nodes());
--- a/tests/operator/publisher_test.cpp
+++ b/tests/operator/publisher_test.cpp
@@ -64,6 +64,23 @@
     EXPECT_EQ(value(past).text_, "one");
 }
 
+// Guards against a second configuration that a daemon takes for older than the first, and serves by while the
+// first one is still held back.
+TEST_F(publishing, states_no_earlier_time_than_the_configuration_before)
+{
+    // Given a configuration by an author whose clock is ahead
+    publish(now(), "ana", "one");
+    published ahead = now();
+    ahead.record_.written_at_ += 5'000'000;
+
+    // When the next one is put in force
+    const auto second = publish(ahead, "eva", "two");
+
+    // Then it does not say that it was written before that one
+    ASSERT_TRUE(ok(second));
+    EXPECT_EQ(value(second).now_.record_.written_at_, ahead.record_.written_at_);
+}
+
 TEST_F(publishing, of_racing_operators_one_wins_and_the_other_is_told_by_whom)
 {
     // Given two operators who have seen the same configuration
--- a/tests/support/gate_harness.h
+++ b/tests/support/gate_harness.h
@@ -159,10 +159,11 @@
         }
     }
 
-    static constexpr std::uint64_t started = 1000;
+    static constexpr std::uint64_t started = 7'200'000'000; // microseconds
+    static constexpr std::uint64_t one_hour = 3'600'000'000;
 
     daemon_name self_{"10.0.0.1:1"};
-    std::uint64_t written_at_ = started - 1; // of the configuration; the mesh is older than this gate
+    std::uint64_t written_at_ = started - one_hour; // of the configuration; the mesh is older than this gate
     time_point now_{std::chrono::hours(1)};
     decide::view_ptr view_;
     decide::gate gate_;
