--- a/src/decide/gossip.h
+++ b/src/decide/gossip.h
@@ -21,7 +21,7 @@
 // A single rule that operators gave outside of the rules file, such as one move.
 struct order {
     std::string subject_;        // what it is about; a later order of the same subject replaces it
-    std::uint64_t revision_ = 0; // of the object in the platform
+    std::uint64_t revision_ = 0; // grows with each change in the platform, also if that is restored
     std::string identity_;       // stays the same if only the text of the rule changes
     std::string rule_;           // a line of a rules file; empty once operators removed it
     friend bool operator==(const order&, const order&) = default;
--- a/tests/decide/control_test.cpp
+++ b/tests/decide/control_test.cpp
@@ -269,7 +269,6 @@
     EXPECT_EQ(whole->record_.text_, "three");
 }
 
-// A daemon that was cut off would stay suspect if nobody told it.
 // Guards against the end of a move that stays lost when the platform is restored to an older state.
 TEST(control, stores_the_end_of_a_move_again_that_the_platform_has_lost)
 {
@@ -296,6 +295,7 @@
     EXPECT_EQ(again[0].fact_, withdrawn);
 }
 
+// A daemon that was cut off would stay suspect if nobody told it.
 TEST(control, tells_a_suspect_so_that_it_can_refute)
 {
     started_daemon d;
