A change of a move's state is logged with its reason and the runs it was judged by

The record can't tell a badness that didn't show from one that showed and wasn't counted: the log had neither the reason of a withdrawal nor the counts. The line move_changed now has both, also those of the trial.

No functional change.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -250,7 +250,8 @@
         log_info("control", "move_changed",
                  "service=" + a.fact_.service_.str() + " version=" + a.fact_.version_.str() +
                      " stage=" + std::to_string(a.fact_.stage_) + (a.fact_.done_ ? " done" : "") +
-                     (a.fact_.withdrawn_ ? " withdrawn" : ""));
+                     (a.fact_.withdrawn_ ? " withdrawn reason=\"" + a.fact_.reason_ + "\"" : "") + " " +
+                     control_.moves().evidence(a.fact_.id_));
         platform_->store_move(a.fact_);
     }
 
--- a/src/decide/moves/move_judge.cpp
+++ b/src/decide/moves/move_judge.cpp
@@ -128,8 +128,12 @@
         }
         if (!on_trial)
             continue;
-        for (const comparison& c : failures)
-            trial_runs_ += c.new_ran_;
+        for (const comparison& c : failures) {
+            trial_totals_.new_ran_ += c.new_ran_;
+            trial_totals_.new_failed_ += c.new_bad_;
+            trial_totals_.old_ran_ += c.old_ran_;
+            trial_totals_.old_failed_ += c.old_bad_;
+        }
         trial_failures_.add(failures);
         trial_slowness_.add(slowness);
     }
@@ -196,7 +200,7 @@
 
 std::string move_judge::trial_rejection_reason() const
 {
-    if (trial_runs_ < min_trial_runs)
+    if (trial_totals_.new_ran_ < min_trial_runs)
         return "too little was seen of its trial under load";
     const double limit = std::log(min_rejecting_trial_e_value);
     if (trial_failures_.log_e_value() >= limit || trial_slowness_.log_e_value() >= limit)
--- a/src/decide/moves/move_judge.h
+++ b/src/decide/moves/move_judge.h
@@ -62,6 +62,8 @@
     // Why the trial is not passed; empty if it is. A version that is worse only under load is seen to be so
     // in the trial alone, so suspicion is enough here and no proof is required.
     std::string trial_rejection_reason() const;
+    // Runs on trial of both versions, over all routes.
+    const run_totals& trial_totals() const { return trial_totals_; }
 
     // Runs since the gates learned of the move.
     std::map<route_key, run_totals> totals() const;
@@ -123,7 +125,7 @@
     std::vector<crash> crashes_;
     std::uint64_t trial_first_ = 0; // wall-clock second; 0: no trial yet
     std::uint64_t trial_last_ = 0;
-    std::uint64_t trial_runs_ = 0; // of the new version
+    run_totals trial_totals_;
     version_test trial_failures_;
     version_test trial_slowness_;
     double recent_new_runs_ = 0; // with exponential decay
--- a/src/decide/moves/move_tracker.cpp
+++ b/src/decide/moves/move_tracker.cpp
@@ -38,6 +38,12 @@
     return static_cast<std::uint64_t>(t.time_since_epoch().count());
 }
 
+std::string describe(const run_totals& t)
+{
+    return "new_failed=" + std::to_string(t.new_failed_) + "/" + std::to_string(t.new_ran_) +
+           " old_failed=" + std::to_string(t.old_failed_) + "/" + std::to_string(t.old_ran_);
+}
+
 run_totals difference(const run_totals& after, const run_totals& before)
 {
     return {after.new_ran_ - before.new_ran_, after.new_failed_ - before.new_failed_,
@@ -342,6 +348,22 @@
     return at == judged_moves_.end() ? "" : at->second.waiting_for_;
 }
 
+std::string move_tracker::evidence(move_id id) const
+{
+    const auto at = judged_moves_.find(id);
+    if (at == judged_moves_.end())
+        return "";
+    run_totals sum;
+    for (const auto& [key, t] : at->second.judge_.totals()) {
+        sum.new_ran_ += t.new_ran_;
+        sum.new_failed_ += t.new_failed_;
+        sum.old_ran_ += t.old_ran_;
+        sum.old_failed_ += t.old_failed_;
+    }
+    const run_totals& trial = at->second.judge_.trial_totals();
+    return describe(sum) + (trial.new_ran_ == 0 ? "" : " on_trial " + describe(trial));
+}
+
 std::uint64_t move_tracker::hash() const
 {
     std::uint64_t sum = 0;
--- a/src/decide/moves/move_tracker.h
+++ b/src/decide/moves/move_tracker.h
@@ -66,6 +66,8 @@
     std::vector<version_stats> known_version_stats() const;
     // What a move that this daemon judges waits for; empty if nothing, or if it does not judge the move.
     std::string waiting_for(move_id id) const;
+    // The runs that this daemon judges the move by, for the log; empty if it does not judge the move.
+    std::string evidence(move_id id) const;
     // Hash over facts(), by which daemons compare what they know.
     std::uint64_t hash() const;
 
