Failures on trial are compared with those of the old version in the whole move

Callers of a version that was bad under load got its failures after it was done (users' record: 430 of 1625 requests, allowed 212). Cause: the trial was judged only by strata of one second, route and data centre, in which the old version has few runs or none: 18 failures of 72 runs against none of 35 gave no e-value of 2. Class: a test without the power to fail. Change: beside the strata, each route's failures on trial are compared with the old version's in all tested seconds. Slowness is not, since it depends on load.

--- a/src/decide/moves/move_judge.cpp
+++ b/src/decide/moves/move_judge.cpp
@@ -128,6 +128,12 @@
         }
         if (!on_trial)
             continue;
+        for (const auto& [key, by_data_center] : closed.mapped()) {
+            for (const auto& [data_center, s] : by_data_center) {
+                tests_.at(key).new_on_trial_.ran_ += s.new_.ran_;
+                tests_.at(key).new_on_trial_.failed_ += s.new_.failed_;
+            }
+        }
         for (const comparison& c : failures) {
             trial_totals_.new_ran_ += c.new_ran_;
             trial_totals_.new_failed_ += c.new_bad_;
@@ -144,8 +150,8 @@
 {
     const auto at =
         tests_
-            .try_emplace(key,
-                         route_tests{version_test(expected_seconds_), version_test(expected_seconds_), {}})
+            .try_emplace(
+                key, route_tests{version_test(expected_seconds_), version_test(expected_seconds_), {}, {}})
             .first;
     route_tests& t = at->second;
     // Slowness is tested at the lowest level that the old version has rarely passed in the tested
@@ -177,6 +183,7 @@
         recent_new_runs_ += static_cast<double>(s.new_.ran_);
         recent_old_runs_ += static_cast<double>(s.old_.ran_);
         t.old_totals_.ran_ += s.old_.ran_;
+        t.old_totals_.failed_ += s.old_.failed_;
         for (std::size_t i = 0; i < slow_levels.size(); ++i)
             t.old_totals_.slower_than_level_[i] += s.old_.slower_than_level_[i];
     }
@@ -203,11 +210,23 @@
     if (trial_totals_.new_ran_ < min_trial_runs)
         return "too little was seen of its trial under load";
     const double limit = std::log(min_rejecting_trial_e_value);
-    if (trial_failures_.log_e_value() >= limit || trial_slowness_.log_e_value() >= limit)
+    if (trial_failures_.log_e_value() >= limit || trial_slowness_.log_e_value() >= limit ||
+        trial_failure_log_e_value() >= limit)
         return "it may be worse under load";
     return {};
 }
 
+double move_judge::trial_failure_log_e_value() const
+{
+    std::vector<comparison> routes;
+    for (const auto& [key, t] : tests_)
+        routes.push_back(
+            {t.new_on_trial_.ran_, t.new_on_trial_.failed_, t.old_totals_.ran_, t.old_totals_.failed_});
+    version_test test(expected_trial_seconds);
+    test.add(routes);
+    return test.log_e_value();
+}
+
 double move_judge::log_threshold() const
 {
     const double tests =
--- a/src/decide/moves/move_judge.h
+++ b/src/decide/moves/move_judge.h
@@ -60,7 +60,8 @@
     // be called before these seconds are tested.
     void set_trial(std::uint64_t first, std::uint64_t last);
     // Why the trial is not passed; empty if it is. A version that is worse only under load is seen to be so
-    // in the trial alone, so suspicion is enough here and no proof is required.
+    // in the trial alone, so suspicion is enough here and no proof is required. Failures on trial are also
+    // compared with those of the old version in the whole move: it has few runs in the seconds of the trial.
     std::string trial_rejection_reason() const;
     // Runs on trial of both versions, over all routes.
     const run_totals& trial_totals() const { return trial_totals_; }
@@ -90,6 +91,7 @@
         version_test failures_;
         version_test slowness_;
         version_counts old_totals_; // of all tested seconds
+        version_counts new_on_trial_;
     };
     struct crash {
         std::uint64_t fingerprint_ = 0;
@@ -110,6 +112,7 @@
     void add_crashes(const version_stats& e);
     comparisons test_route(const route_key& key, const strata& by_data_center);
     double new_version_share() const;
+    double trial_failure_log_e_value() const;
     bool recent(const version_stats& e) const;
     double log_crash_e_value() const;
     double log_threshold() const;
@@ -126,7 +129,7 @@
     std::uint64_t trial_first_ = 0; // wall-clock second; 0: no trial yet
     std::uint64_t trial_last_ = 0;
     run_totals trial_totals_;
-    version_test trial_failures_;
+    version_test trial_failures_; // in the seconds of the trial
     version_test trial_slowness_;
     double recent_new_runs_ = 0; // with exponential decay
     double recent_old_runs_ = 0;
