A move's new version gets no more calls than its rule allows, as a count

Cause: shares bound what is expected, not what comes; a busy second and calls that were sent again exceeded them. Class: a rule about a count, kept by a rate. Change: a move line may say 'at most 10% plus 45'. Each entry counts its calls of the service and to the new version, and keeps its part: the share of its own calls, and an equal part of the reserve, rounded at random, so that the sum is right for many entries without a message. The bounds come from the platform's settings.

--- a/src/decide/configuration.h
+++ b/src/decide/configuration.h
@@ -144,7 +144,11 @@
     version_name version_;
     wall_time deadline_{};
     double start_share_ = 0.01; // 0 to 1
-    std::string order_;         // name that tells moves to one version apart; empty: the deadline does
+    // Until the move is done, the new version gets at most this share of the service's calls, and so many
+    // more. Share 1: no bound.
+    double exposure_share_ = 1;
+    std::uint32_t exposure_reserve_ = 0;
+    std::string order_; // name that tells moves to one version apart; empty: the deadline does
     origin origin_;
 
     move_id id() const;
--- a/src/decide/entry/entry.cpp
+++ b/src/decide/entry/entry.cpp
@@ -155,10 +155,15 @@
 
 // This daemon's part of the retry reserve of the whole fleet.
 double entry::reserve_per_daemon(std::uint32_t reserve) const
+{
+    return static_cast<double>(reserve) / static_cast<double>(alive_daemons());
+}
+
+std::size_t entry::alive_daemons() const
 {
     const auto alive = std::count_if(view_->members_.begin(), view_->members_.end(),
                                      [](const member& m) { return m.state_ == member_state::alive; });
-    return static_cast<double>(reserve) / static_cast<double>(std::max<std::ptrdiff_t>(1, alive));
+    return static_cast<std::size_t>(std::max<std::ptrdiff_t>(1, alive));
 }
 
 std::string entry::own_service() const
@@ -180,7 +185,7 @@
         const move_fact* known = view_->find_move(move->id());
         // Without a fact the move has not begun, or its withdrawal is not yet known here:
         // no calls go to the new version.
-        if (known && draw < share_of(*move, *known))
+        if (known && draw < share_of(*move, *known) && (known->done_ || may_expose(*move)))
             return move->version_;
     }
     if (const split_rule* split = c.find_split(service)) {
@@ -194,6 +199,45 @@
     return c.find_service(service)->version_;
 }
 
+const move_rule* entry::open_move(const service_name& service) const
+{
+    const move_rule* move = view_->configuration_ ? view_->configuration_->find_move(service) : nullptr;
+    const move_fact* known = move ? view_->find_move(move->id()) : nullptr;
+    return known && !known->done_ ? move : nullptr;
+}
+
+bool entry::may_expose(const move_rule& move) const
+{
+    const auto limit = exposures_.find(move.id());
+    return limit == exposures_.end() ||
+           limit->second.allows(move, *view_->find_move(move.id()), alive_daemons());
+}
+
+void entry::limit_exposure(request_state& r) const
+{
+    const move_rule* move = open_move(r.call_.service_);
+    if (move && r.call_.version_ == move->version_ && !may_expose(*move))
+        r.call_.version_ = view_->configuration_->find_service(r.call_.service_)->version_;
+}
+
+void entry::limit_exposures()
+{
+    std::erase_if(exposures_, [this](const auto& item) { return !view_->find_move(item.first); });
+    if (!view_->configuration_)
+        return;
+    for (const move_rule& move : view_->configuration_->moves_)
+        if (move.exposure_share_ < 1 && view_->find_move(move.id()) && !exposures_.contains(move.id()))
+            exposures_.emplace(move.id(), exposure_limit(random_share(random_)));
+}
+
+void entry::record_exposure(const request_state& r)
+{
+    const move_rule* move = open_move(r.call_.service_);
+    const auto limit = move ? exposures_.find(move->id()) : exposures_.end();
+    if (limit != exposures_.end() && r.call_.version_ == move->version_)
+        limit->second.record_new();
+}
+
 std::optional<daemon_name> entry::choose_gate(request_state& r, time_point now)
 {
     const auto gate = balancer_.choose(r.call_.service_, r.call_.version_, r.tried_, random_, now);
@@ -206,6 +250,7 @@
 
 void entry::attempt(request_state& r, time_point now, code last_failure)
 {
+    limit_exposure(r);
     auto gate = choose_gate(r, now);
     // If no untried gate is left, one that was tried gets the request again, unless it
     // must not run twice.
@@ -242,6 +287,7 @@
     set_header(headers, protocol_.depth_header_, std::to_string(r.call_.depth_ + 1));
     if (!protocol_.caller_names_requests_)
         set_header(headers, protocol_.identity_header_, r.call_.identity_);
+    record_exposure(r);
     balancer_.began(gate);
     attempts_[r.call_.id_] = r.exchange_;
     schedule(r, std::min(r.deadline_, now + acknowledgement_timeout));
@@ -263,8 +309,15 @@
 
 void entry::close_attempt(request_state& r, attempt_end how, time_point now)
 {
-    if (attempts_.erase(r.call_.id_) > 0)
-        balancer_.ended(r.gate_, how, now - r.sent_, random_, now);
+    if (attempts_.erase(r.call_.id_) == 0)
+        return;
+    balancer_.ended(r.gate_, how, now - r.sent_, random_, now);
+    if (how != attempt_end::answered && how != attempt_end::failed)
+        return; // it may not have reached a backend server
+    const move_rule* move = open_move(r.call_.service_);
+    const auto limit = move ? exposures_.find(move->id()) : exposures_.end();
+    if (limit != exposures_.end())
+        limit->second.record_reached();
 }
 
 void entry::on(const caller_gone& e, time_point now)
@@ -392,8 +445,10 @@
     const bool same = view_ && view_->configuration_ == e.view_->configuration_ &&
                       view_->members_ == e.view_->members_ && view_->moves_ == e.view_->moves_;
     view_ = e.view_;
-    if (!same)
-        balancer_.set_view(*view_, now);
+    if (same)
+        return;
+    balancer_.set_view(*view_, now);
+    limit_exposures();
 }
 
 void entry::on(const entry_stop& e, time_point)
--- a/src/decide/entry/entry.h
+++ b/src/decide/entry/entry.h
@@ -16,6 +16,7 @@
 #include "decide/call.h"
 #include "decide/caller_protocol.h"
 #include "decide/entry/balancer.h"
+#include "decide/entry/exposure_limit.h"
 #include "decide/entry/retry_budget.h"
 #include "decide/view.h"
 
@@ -168,9 +169,21 @@
 
     service_name choose_service(const route_rule& route);
     version_name choose_version(const service_name& service);
+    // The move of this service while its version is still on probation; null if there is none.
+    const move_rule* open_move(const service_name& service) const;
+    // True if the move's exposure limit leaves room for one more call to its version.
+    bool may_expose(const move_rule& move) const;
+    // A call to the version of an open move goes to the version of the service rule once the limit is
+    // reached.
+    void limit_exposure(request_state& r) const;
+    void record_exposure(const request_state& r);
+    // Starts and drops the exposure limits with the moves in the view.
+    void limit_exposures();
     // Random Retry-After time for a request that has not run.
     duration retry_after();
     double reserve_per_daemon(std::uint32_t reserve) const;
+    // At least 1.
+    std::size_t alive_daemons() const;
     // The service beside this daemon; empty if none is known.
     std::string own_service() const;
     std::optional<daemon_name> choose_gate(request_state& r, time_point now);
@@ -214,6 +227,7 @@
     std::optional<entry_stop> stop_;
     balancer balancer_;
     std::map<service_name, retry_budget> budgets_;
+    std::map<move_id, exposure_limit> exposures_;
     // The longest timeout that a caller of each class has asked for. A caller that asks
     // for less is taken to have spent the difference on earlier tries.
     std::map<class_name, duration> longest_timeouts_;
--- a/src/operator/rules.cpp
+++ b/src/operator/rules.cpp
@@ -173,6 +173,12 @@
     r.deadline_ = in.moment("the deadline");
     if (in.accept("from"))
         r.start_share_ = in.share("the first share");
+    if (in.accept("at")) {
+        in.expect("most");
+        r.exposure_share_ = in.share("the largest share");
+        if (in.accept("plus"))
+            r.exposure_reserve_ = static_cast<std::uint32_t>(in.count("the calls beyond it", 1, 1'000'000));
+    }
     if (in.accept("as"))
         r.order_ = in.name("a name of the move");
     return r;
--- a/tests/platform/rules_test.cpp
+++ b/tests/platform/rules_test.cpp
@@ -92,13 +92,21 @@
 TEST(platform_orders, are_moves_and_outs_with_their_progress)
 {
     const wall_time deadline{std::chrono::milliseconds(1'700'000'000'250)};
-    const auto move = move_order(rollout(), deadline);
+    const auto move = move_order(rollout(), deadline, {});
     ASSERT_TRUE(ok(move));
     EXPECT_EQ(value(move).rule_,
               "move board to v2 by 2023-11-14T22:13:20.250Z from 6% as 412 # the operators");
     EXPECT_EQ(out_order({"leon", 9, 9, {}, {}}).rule_, "out leon # the operators");
     EXPECT_EQ(value(rollout_duration(rollout())), std::chrono::milliseconds(12'500));
 
+    // What a bad version may get goes with the rule; a part of the reserve is left out
+    platform_limits limits;
+    limits.exposure_share_ = 0.1;
+    limits.exposure_reserve_ = 50;
+    EXPECT_EQ(
+        value(move_order(rollout(), deadline, limits)).rule_,
+        "move board to v2 by 2023-11-14T22:13:20.250Z from 6% at most 10.00% plus 45 as 412 # the operators");
+
     // The fact has the identity of the rule that the order becomes
     const auto parsed = operators::parse_rules("service board version * # x\n" + value(move).rule_ + "\n");
     const auto* c = std::get_if<decide::configuration>(&parsed);
@@ -112,7 +120,7 @@
     // A status that was written for an earlier order (another version) is ignored
     EXPECT_FALSE(
         value(to_fact(rollout({{"state", "rolled_back"}, {"targetVersion", "v1"}}), deadline)).withdrawn_);
-    EXPECT_FALSE(ok(move_order(object({{"service", 4}}), deadline)));
+    EXPECT_FALSE(ok(move_order(object({{"service", 4}}), deadline, {})));
 }
 
 } // namespace guavahaven::platform
