A bounded move is done only just before its deadline, and its takeover counts

What the users saw: a bad version that was done got all requests for 3.8 s until the operators' deadline, 430 of 1625 in all, 212 allowed. Cause: a move was done as early as its stages allowed, and nothing of what comes after was counted; whether it was bad showed only in operation, or never. Change: a move with a bound is done 0.4 s before its deadline, which lies 0.9 s before the operators' (3 s before), and 'completed' follows after 0.5 s (1.2 s before). The platform takes these 1.3 s, in which the new version gets all requests, off the share that it may get before. So even a badness that never shows stays within the bound, at the price of less time for the write of the status. The share by which a route counts as in use is what the version got, not what its stage allows. Tests: done_at of a bounded move; the sums of the bound for four lengths and five rates. Both need the new rule and don't compile without it.

--- a/src/decide/moves/move_tracker.cpp
+++ b/src/decide/moves/move_tracker.cpp
@@ -69,6 +69,8 @@
 
 std::optional<wall_time> move_schedule::done_at(wall_time watch_began) const
 {
+    if (bounded_)
+        return deadline_ - bounded_move_done_margin;
     const wall_time last = deadline_ - length() / deadline_margin_divisor;
     if (last - watch_began < length() / min_watch_divisor)
         return {};
@@ -192,6 +194,20 @@
     return judged_moves_.insert({rule.id(), std::move(added)}).first->second;
 }
 
+double move_tracker::judged_move::new_share_in_stage() const
+{
+    double new_runs = 0;
+    double runs = 0;
+    for (const auto& [key, now] : judge_.totals()) {
+        const auto before = totals_at_stage_start_.find(key);
+        const run_totals increase =
+            difference(now, before == totals_at_stage_start_.end() ? run_totals{} : before->second);
+        new_runs += static_cast<double>(increase.new_ran_);
+        runs += static_cast<double>(increase.new_ran_ + increase.old_ran_);
+    }
+    return runs > 0 ? new_runs / runs : 0;
+}
+
 // Judges the move now; returns true if it changed the fact.
 bool move_tracker::judge(const configuration& c, const move_rule& rule, move_fact& fact, wall_time wall)
 {
@@ -244,7 +260,7 @@
     if (j.judge_.regression_suspected())
         return "a badness is likely but not shown";
     std::uint64_t good = 0;
-    const double share = share_of(rule, fact);
+    const double share = std::min(share_of(rule, fact), j.new_share_in_stage());
     for (const auto& [key, now] : j.judge_.totals()) {
         const auto before = j.totals_at_stage_start_.find(key);
         const run_totals increase =
@@ -262,7 +278,7 @@
                " good answers at this share";
 
     const std::uint32_t stages = stage_count(rule, fact);
-    const move_schedule schedule{to_wall(fact.began_), rule.deadline_, stages};
+    const move_schedule schedule{to_wall(fact.began_), rule.deadline_, stages, rule.exposure_share_ < 1};
     const wall_time since = to_wall(fact.since_);
     if (fact.stage_ + 1 == stages) {
         if (stages == short_move_stages && !j.judge_.trial_rejection_reason().empty())
--- a/src/decide/moves/move_tracker.h
+++ b/src/decide/moves/move_tracker.h
@@ -13,11 +13,16 @@
 
 namespace guavahaven::decide {
 
+// A move that bounds what the new version may get is done this long before its deadline, however early its
+// last stage began: from then on the version gets all calls, and a badness that shows later can't be undone.
+inline constexpr duration bounded_move_done_margin = std::chrono::milliseconds(400);
+
 // The times of a move; they follow from its first judgement, its deadline and its number of stages.
 struct move_schedule {
     wall_time began_{};
     wall_time deadline_{};
     std::uint32_t stages_ = 0;
+    bool bounded_ = false; // a bound is set to what the new version may get
 
     duration length() const { return deadline_ - began_; }
     // Time at the last stage before the move is done; it is cut short by a near deadline.
@@ -77,6 +82,9 @@
         std::uint32_t stage_ = 0;
         std::map<route_key, run_totals> totals_at_stage_start_; // totals when the stage began
         std::string waiting_for_;
+
+        // Share of the new version in the runs of this stage; a bound may keep it below the stage's share.
+        double new_share_in_stage() const;
     };
 
     bool may_begin(const move_rule& rule, wall_time wall);
--- a/tests/decide/moves/short_move_test.cpp
+++ b/tests/decide/moves/short_move_test.cpp
@@ -130,6 +130,17 @@
     EXPECT_EQ(gates_of(v2, fact_at(rule_, 1)), (std::set<std::string>{"10.0.0.4:1", "10.0.0.5:1"}));
 }
 
+// Guards against a version that is done seconds before its deadline and gets all calls until then, though its
+// badness has never shown: 430 of 1625 requests, 212 allowed.
+TEST_F(short_move, is_done_only_just_before_its_deadline_if_its_calls_are_bounded)
+{
+    const move_schedule bounded{wall_at(0), wall_at(13), 3, true};
+    EXPECT_EQ(bounded.done_at(wall_at(7.5)), wall_at(13) - bounded_move_done_margin);
+    // Without a bound it is done once it has been watched for a quarter of its length
+    const move_schedule unbounded{wall_at(0), wall_at(13), 3, false};
+    EXPECT_EQ(unbounded.done_at(wall_at(7.5)), wall_at(10.75));
+}
+
 TEST_F(short_move, ends_a_trial_whose_judges_are_paused)
 {
     move_tracker tracker;
--- a/tests/platform/rules_test.cpp
+++ b/tests/platform/rules_test.cpp
@@ -92,7 +92,7 @@
 TEST(platform_orders, are_moves_and_outs_with_their_progress)
 {
     const wall_time deadline{std::chrono::milliseconds(1'700'000'000'250)};
-    const auto move = move_order(rollout(), deadline, {});
+    const auto move = move_order(rollout(), deadline, {}, {});
     ASSERT_TRUE(ok(move));
     EXPECT_EQ(value(move).rule_,
               "move board to v2 by 2023-11-14T22:13:20.250Z from 6% as 412 # the operators");
@@ -104,8 +104,8 @@
     limits.exposure_share_ = 0.1;
     limits.exposure_reserve_ = 50;
     EXPECT_EQ(
-        value(move_order(rollout(), deadline, limits)).rule_,
-        "move board to v2 by 2023-11-14T22:13:20.250Z from 6% at most 10.00% plus 45 as 412 # the operators");
+        value(move_order(rollout(), deadline, limits, std::chrono::milliseconds(1250))).rule_,
+        "move board to v2 by 2023-11-14T22:13:20.250Z from 6% at most 0.00% plus 45 as 412 # the operators");
 
     // The fact has the identity of the rule that the order becomes
     const auto parsed = operators::parse_rules("service board version * # x\n" + value(move).rule_ + "\n");
@@ -120,7 +120,31 @@
     // A status that was written for an earlier order (another version) is ignored
     EXPECT_FALSE(
         value(to_fact(rollout({{"state", "rolled_back"}, {"targetVersion", "v1"}}), deadline)).withdrawn_);
-    EXPECT_FALSE(ok(move_order(object({{"service", 4}}), deadline, {})));
+    EXPECT_FALSE(ok(move_order(object({{"service", 4}}), deadline, {}, {})));
+}
+
+// Guards against a version whose badness never shows, and which is done: with all requests from the takeover
+// on it must still get no more than a bad version may.
+TEST(platform_orders, bound_a_rollout_with_its_takeover)
+{
+    platform_limits limits;
+    limits.exposure_share_ = 0.1;
+    limits.exposure_reserve_ = 50;
+    const double takeover = 1.3;
+    for (const double length : {13.0, 14.0, 15.0, 16.0}) {
+        const auto order =
+            move_order(object({{"service", "board"}, {"targetVersion", "v2"}, {"durationS", length}}),
+                       wall_time{}, limits, std::chrono::milliseconds(1300));
+        const auto parsed =
+            operators::parse_rules("service board version * # x\n" + value(order).rule_ + "\n");
+        const decide::move_rule& move = std::get<decide::configuration>(parsed).moves_.front();
+        for (const double per_second : {20.0, 75.0, 108.0, 600.0, 1349.0}) {
+            SCOPED_TRACE(std::to_string(length) + " s, " + std::to_string(per_second) + " requests a second");
+            const double before =
+                move.exposure_share_ * per_second * (length - takeover) + move.exposure_reserve_;
+            EXPECT_LE(before + per_second * takeover, 0.1 * per_second * length + 50);
+        }
+    }
 }
 
 } // namespace guavahaven::platform
