The trial of a bounded move loads one new backend server

Class: a trial that can't show what it is for. Change: the trial of a bounded move goes to one new backend server, at 90% of the calls, until the calls that the bound allows are spent; the comparison with the whole move needs few runs of the old version beside it. Its stages need 5 good answers, not 10, since there are fewer calls. The test failed before: two gates, share 0.65.

--- a/src/decide/configuration.h
+++ b/src/decide/configuration.h
@@ -152,6 +152,7 @@
     origin origin_;
 
     move_id id() const;
+    bool bounded() const { return exposure_share_ < 1; }
 
     friend bool operator==(const move_rule&, const move_rule&) = default;
 };
--- a/src/decide/entry/balancer.cpp
+++ b/src/decide/entry/balancer.cpp
@@ -96,15 +96,16 @@
     if (known.configuration_)
         for (const move_rule& rule : known.configuration_->moves_)
             if (const move_fact* fact = known.find_move(rule.id()); fact && on_trial(rule, *fact))
-                keep_first_half(pools_[{rule.service_, rule.version_}]);
+                keep_on_trial(pools_[{rule.service_, rule.version_}], rule);
     std::erase_if(gates_, [now](const auto& known_gate) {
         const gate_state& g = known_gate.second;
         return g.in_flight_ == 0 && now - g.last_seen_ > departed_gate_retention;
     });
 }
 
-// Keeps the half of a pool whose names sort first, so that every daemon keeps the same half.
-void balancer::keep_first_half(pool& p)
+// Keeps half of a pool, or one gate if a bound leaves few calls: spread over more, they would not load any.
+// The names that sort first are kept, so that every daemon keeps the same.
+void balancer::keep_on_trial(pool& p, const move_rule& rule)
 {
     std::vector<daemon_name> names;
     for (const gates* part : {&p.local_, &p.remote_})
@@ -113,7 +114,7 @@
     if (names.size() < 2)
         return;
     std::sort(names.begin(), names.end());
-    const daemon_name last = names[(names.size() + 1) / 2 - 1];
+    const daemon_name last = names[rule.bounded() ? 0 : (names.size() + 1) / 2 - 1];
     for (gates* part : {&p.local_, &p.remote_})
         std::erase_if(*part, [&last](const gate_state* g) { return last < g->name_; });
 }
--- a/src/decide/entry/balancer.h
+++ b/src/decide/entry/balancer.h
@@ -105,7 +105,7 @@
                                                 random_engine& random, time_point now);
     static const gate_state* choose_local_or_remote(const pool& all, const gate_filter& filter,
                                                     random_engine& random, time_point now);
-    static void keep_first_half(pool& p);
+    static void keep_on_trial(pool& p, const move_rule& rule);
     bool may_eject(const gate_state& g, time_point now) const;
     void eject(gate_state& g, duration longest, random_engine& random, time_point now) const;
 
--- a/src/decide/entry/entry.cpp
+++ b/src/decide/entry/entry.cpp
@@ -226,7 +226,7 @@
     if (!view_->configuration_)
         return;
     for (const move_rule& move : view_->configuration_->moves_)
-        if (move.exposure_share_ < 1 && view_->find_move(move.id()) && !exposures_.contains(move.id()))
+        if (move.bounded() && view_->find_move(move.id()) && !exposures_.contains(move.id()))
             exposures_.emplace(move.id(), exposure_limit(random_share(random_)));
 }
 
--- a/src/decide/entry/exposure_limit.cpp
+++ b/src/decide/entry/exposure_limit.cpp
@@ -25,7 +25,7 @@
 
 bool exposure_limit::allows(const move_rule& rule, const move_fact& fact, std::size_t entries) const
 {
-    if (fact.done_ || rule.exposure_share_ >= 1)
+    if (fact.done_ || !rule.bounded())
         return true;
     const double reserve =
         static_cast<double>(rule.exposure_reserve_) / static_cast<double>(std::max<std::size_t>(1, entries));
--- a/src/decide/moves/move_tracker.cpp
+++ b/src/decide/moves/move_tracker.cpp
@@ -13,10 +13,11 @@
 constexpr int watch_divisor = 4; // the last stage takes this part of the move's length
 // With less than this part of its length left for the last stage, a move is not done.
 constexpr int min_watch_divisor = 10;
-constexpr int deadline_margin_divisor = 20;     // this part of the length is kept free before the deadline
-constexpr std::uint64_t min_good_answers = 10;  // of the new version, at each stage
-constexpr std::uint64_t min_new_route_runs = 3; // of the new version, on each route in use
-constexpr double max_share_for_expected_runs = 0.95; // avoids a division by zero
+constexpr int deadline_margin_divisor = 20;    // this part of the length is kept free before the deadline
+constexpr std::uint64_t min_good_answers = 10; // of the new version, at each stage
+constexpr std::uint64_t min_good_answers_bounded = 5; // the same where a bound leaves few calls
+constexpr std::uint64_t min_new_route_runs = 3;       // of the new version, on each route in use
+constexpr double max_share_for_expected_runs = 0.95;  // avoids a division by zero
 constexpr std::uint64_t min_old_route_runs = 30; // of the old version at a stage, for a route to be in use
 constexpr double max_capacity_use = 1.0; // mean concurrent runs as a share of what the gates admit now
 constexpr duration report_arrival_timeout = std::chrono::milliseconds(600); // after the end of a second
@@ -273,12 +274,12 @@
             expected >= 2 * static_cast<double>(min_new_route_runs) && increase.new_ran_ < min_new_route_runs)
             return "too few runs on route " + key.route_;
     }
-    if (good < min_good_answers)
-        return std::to_string(good) + " of " + std::to_string(min_good_answers) +
-               " good answers at this share";
+    const std::uint64_t least = rule.bounded() ? min_good_answers_bounded : min_good_answers;
+    if (good < least)
+        return std::to_string(good) + " of " + std::to_string(least) + " good answers at this share";
 
     const std::uint32_t stages = stage_count(rule, fact);
-    const move_schedule schedule{to_wall(fact.began_), rule.deadline_, stages, rule.exposure_share_ < 1};
+    const move_schedule schedule{to_wall(fact.began_), rule.deadline_, stages, rule.bounded()};
     const wall_time since = to_wall(fact.since_);
     if (fact.stage_ + 1 == stages) {
         if (stages == short_move_stages && !j.judge_.trial_rejection_reason().empty())
--- a/src/decide/view.cpp
+++ b/src/decide/view.cpp
@@ -20,6 +20,8 @@
 // that turns bad later gets few requests. During the trial the old version keeps enough
 // calls for a comparison.
 constexpr std::array short_later_shares{0.65, 0.0};
+// With a bound on its calls the trial is over sooner: it is compared with earlier calls of the old version.
+constexpr std::array bounded_later_shares{0.90, 0.0};
 constexpr duration short_move = std::chrono::seconds(30);
 
 bool is_short(const move_rule& rule, const move_fact& fact)
@@ -30,7 +32,7 @@
 std::span<const double> shares_after_start(const move_rule& rule, const move_fact& fact)
 {
     if (is_short(rule, fact))
-        return short_later_shares;
+        return rule.bounded() ? bounded_later_shares : short_later_shares;
     return later_shares;
 }
 
--- a/tests/decide/moves/short_move_test.cpp
+++ b/tests/decide/moves/short_move_test.cpp
@@ -130,6 +130,19 @@
     EXPECT_EQ(gates_of(v2, fact_at(rule_, 1)), (std::set<std::string>{"10.0.0.4:1", "10.0.0.5:1"}));
 }
 
+// Guards against a trial that shows nothing: the few calls of a bounded move, spread over half of the new
+// backend servers, kept none of them busy.
+TEST_F(short_move, tries_one_new_backend_server_under_load_if_its_calls_are_bounded)
+{
+    auto rules = std::make_shared<configuration>(*known_.configuration_);
+    rules->moves_.front().exposure_share_ = 0.02;
+    rules->moves_.front().exposure_reserve_ = 45;
+    known_.configuration_ = rules;
+    EXPECT_EQ(gates_of(v2, fact_at(rule_, 0)).size(), 4U);
+    EXPECT_EQ(gates_of(v2, fact_at(rule_, 1)), (std::set<std::string>{"10.0.0.4:1"}));
+    EXPECT_EQ(share_of(rules->moves_.front(), fact_at(rule_, 1)), 0.9);
+}
+
 // Guards against a version that is done seconds before its deadline and gets all calls until then, though its
 // badness has never shown: 430 of 1625 requests, 212 allowed.
 TEST_F(short_move, is_done_only_just_before_its_deadline_if_its_calls_are_bounded)
