A watch whose answer the store has lost is noticed before a configuration is late

Class: a time-out longer than the time within which its result must be had. The stand-in answers watches at the end of their wait and can lose the answer. The test failed before: neither change was known within 3 s.

--- a/src/object_store/store.cpp
+++ b/src/object_store/store.cpp
@@ -8,7 +8,7 @@
 
 constexpr duration call_timeout = std::chrono::seconds(2);
 constexpr duration watch_grace_time =
-    std::chrono::seconds(2); // for the response, after the wait that was asked for
+    std::chrono::seconds(1); // for the response, after the wait that was asked for
 constexpr std::size_t max_connections = 2;
 constexpr std::size_t max_watches = 4;
 
--- a/src/object_store/watcher.cpp
+++ b/src/object_store/watcher.cpp
@@ -7,7 +7,9 @@
 
 namespace {
 
-constexpr duration watch_wait = std::chrono::seconds(10);
+// Shorter than the time within which a configuration must be in force: only the end of the wait shows that
+// the answer was lost.
+constexpr duration watch_wait = std::chrono::milliseconds(1500);
 constexpr duration first_retry_interval = std::chrono::milliseconds(500);
 constexpr duration max_retry_interval = std::chrono::seconds(15);
 constexpr duration max_first_seeds_delay = std::chrono::milliseconds(300);
--- a/tests/platform/watcher_test.cpp
+++ b/tests/platform/watcher_test.cpp
@@ -173,6 +173,25 @@
     EXPECT_TRUE(run_until([&] { return last_number() == 9; }));
 }
 
+// Guards against daemons that learn of no configuration for half a minute after the store has lost the answer
+// of a watch: its connection stays open, and nothing comes over it any more.
+TEST_F(following, learns_of_changes_soon_after_the_answer_of_a_watch_was_lost)
+{
+    constexpr duration noticed_within = std::chrono::seconds(3);
+    ASSERT_TRUE(start_watching());
+    ASSERT_TRUE(run_until([&] { return store_.count("GET /objects/config?watch") > 0; }));
+    run_for(std::chrono::milliseconds(100));
+    // When a change is answered while answers are lost, and another one follows
+    store_.faults_.loses_watch_answers_ = true;
+    store_.put("config", "main", configuration(7));
+    store_.put("evacuations", "leon", json::object());
+    store_.faults_.loses_watch_answers_ = false;
+    store_.put("config", "main", configuration(8));
+    // Then the daemon has the last one within seconds, and the order soon after
+    EXPECT_TRUE(run_until([&] { return last_number() == 8; }, noticed_within));
+    EXPECT_TRUE(run_until([&] { return is_out("leon"); }, noticed_within));
+}
+
 TEST_F(following, survives_an_outage_and_says_so)
 {
     ASSERT_TRUE(start_watching());
--- a/tests/support/users_store.cpp
+++ b/tests/support/users_store.cpp
@@ -1,6 +1,7 @@
 #include "support/users_store.h"
 
 #include <algorithm>
+#include <optional>
 #include <stdexcept>
 
 #include "support/process.h"
@@ -37,7 +38,8 @@
 } // namespace
 
 users_store::users_store(event_loop& loop)
-    : server_(loop, {}, [this](const std::shared_ptr<http::exchange>& e) { receive(e); }), port_(free_port())
+    : server_(loop, {}, [this](const std::shared_ptr<http::exchange>& e) { receive(e); }), port_(free_port()),
+      due_timer_(loop, [this] { end_due_watches(); })
 {
     if (!ok(server_.listen(address())))
         throw std::runtime_error("the stand-in of the store can't listen");
@@ -165,10 +167,28 @@
     if (since < history_from_ || since > revision_)
         return e->reply(reply(410, json::object()));
     const json found = changes(kind, since);
-    if (!found.empty() ||
-        std::stoull(http::query_parameter(e->received().target_, "waitMs")) <= brief_wait_ms)
+    const std::uint64_t wait_ms = std::stoull(http::query_parameter(e->received().target_, "waitMs"));
+    if (!found.empty() || wait_ms <= brief_wait_ms)
         return e->reply(reply(200, {{"events", found}, {"currentRev", revision_}}));
-    watches_.push_back({e, kind, since});
+    watches_.push_back({e, kind, since, clock_.now() + std::chrono::milliseconds(wait_ms)});
+    end_due_watches();
+}
+
+void users_store::end_due_watches()
+{
+    const time_point now = clock_.now();
+    std::optional<time_point> next;
+    for (auto at = watches_.begin(); at != watches_.end();) {
+        if (at->due_ > now) {
+            next = next ? std::min(*next, at->due_) : at->due_;
+            ++at;
+            continue;
+        }
+        at->exchange_->reply(reply(200, {{"events", json::array()}, {"currentRev", revision_}}));
+        at = watches_.erase(at);
+    }
+    if (next)
+        due_timer_.arm(*next - now);
 }
 
 json users_store::changes(const std::string& kind, std::uint64_t since) const
@@ -193,7 +213,10 @@
             ++at;
             continue;
         }
-        at->exchange_->reply(reply(200, {{"events", found}, {"currentRev", revision_}}));
+        if (faults_.loses_watch_answers_)
+            unanswered_.push_back(at->exchange_);
+        else
+            at->exchange_->reply(reply(200, {{"events", found}, {"currentRev", revision_}}));
         at = watches_.erase(at);
     }
 }
--- a/tests/support/users_store.h
+++ b/tests/support/users_store.h
@@ -11,6 +11,8 @@
 #include <string>
 #include <vector>
 
+#include "base/clock.h"
+#include "base/event_loop.h"
 #include "base/http.h"
 
 namespace guavahaven::support {
@@ -19,9 +21,10 @@
 public:
     // Faults; each stays until it is taken back.
     struct faults {
-        bool down_ = false;         // every call is refused with 503, and nothing is done
-        bool silent_ = false;       // calls are taken and never answered
-        bool loses_writes_ = false; // writes are done, and their answer never comes
+        bool down_ = false;                // every call is refused with 503, and nothing is done
+        bool silent_ = false;              // calls are taken and never answered
+        bool loses_writes_ = false;        // writes are done, and their answer never comes
+        bool loses_watch_answers_ = false; // the answer of a watch never comes; its connection stays open
     };
 
     explicit users_store(event_loop& loop);
@@ -68,6 +71,7 @@
         std::shared_ptr<http::exchange> exchange_;
         std::string kind_;
         std::uint64_t since_ = 0;
+        time_point due_{}; // answered without a change then
     };
 
     // An answer with the era that the store states in all its answers.
@@ -78,6 +82,7 @@
     http::response replace(const http::request& r, const std::string& kind, const std::string& name,
                            bool status);
     void watch(const std::shared_ptr<http::exchange>& e, const std::string& kind);
+    void end_due_watches();
     // The changes of a kind since a revision; empty if there are none.
     nlohmann::json changes(const std::string& kind, std::uint64_t since) const;
     void changed(const std::string& kind, const std::string& name, bool deleted);
@@ -95,6 +100,8 @@
     } copy_;
     std::vector<change> history_;
     std::list<waiting_watch> watches_;
+    runtime_clock clock_;
+    timer due_timer_;
     std::vector<std::shared_ptr<http::exchange>> unanswered_;
     std::vector<std::string> calls_;
 };
