A gate keeps to the limit that its backend server states

Cause: the header was passed on with the answers and read by nobody; gates admitted by slots alone. Class: a statement of the backend server that is not part of the model. Change: the gate, the only way to its backend server, starts no more requests a second than the last answer stated, by a token bucket; the limit ends with an answer that states none, or with another start of the backend server. What would wait for too long is refused at once, and the gate's load tells the entries how little it takes, so no entry needs to know of it and a restart of other daemons changes nothing.

--- a/src/backend/announcement.h
+++ b/src/backend/announcement.h
@@ -43,7 +43,9 @@
     std::string expected_instance_header_;               // of a request: the instance that it is meant for
     std::string not_run_header_;                         // of a response: present if the request has not run
     std::string executed_header_; // of a response: present if the instance ran the request
-    int misdirected_status_ = 0;  // of a response by an instance that the request was not meant for; 0: none
+    std::string
+        rate_limit_header_; // of a response: the requests a second that the instance takes, a decimal number
+    int misdirected_status_ = 0; // of a response by an instance that the request was not meant for; 0: none
     http::response_rules responses_;
     // Decodes a registration message; request_malformed if it is invalid. listener is the address that
     // received it.
--- a/src/backend/connector.cpp
+++ b/src/backend/connector.cpp
@@ -1,5 +1,8 @@
 #include "backend/connector.h"
 
+#include <charconv>
+#include <cmath>
+
 #include "base/log.h"
 #include "decide/caller_protocol.h"
 
@@ -13,6 +16,18 @@
 constexpr duration min_restart_time =
     std::chrono::milliseconds(300); // from the end of one daemon process to the start of the next
 
+// Empty if the text is no finite, non-negative decimal number.
+std::optional<double> decimal_number(const std::string& text)
+{
+    double number = 0;
+    const auto [end, failed] =
+        std::from_chars(text.data(), text.data() + text.size(), number, std::chars_format::fixed);
+    if (text.empty() || failed != std::errc() || end != text.data() + text.size() || !std::isfinite(number) ||
+        number < 0)
+        return {};
+    return number;
+}
+
 } // namespace
 
 connector::connector(event_loop& loop, metrics& counts, const settings& s, decide::gate decisions,
@@ -138,13 +153,16 @@
                        std::to_string(time_left.count()));
     decide::set_header(request.headers_, settings_.protocol_.expected_instance_header_, a.instance_);
     backend_->stream(a.run_.value(), std::move(request), a.timeout_ + response_grace_time,
-                     [this, run = a.run_](http::response_event e) { handle_response(run, std::move(e)); });
+                     [this, run = a.run_, instance = a.instance_](http::response_event e) {
+                         handle_response(run, instance, std::move(e));
+                     });
 }
 
-void connector::handle_response(decide::run_id run, http::response_event event)
+void connector::handle_response(decide::run_id run, const std::string& instance, http::response_event event)
 {
     std::visit(guavahaven::overloaded{
                    [&](http::response_start& start) {
+                       process_statement(instance, start.response_);
                        handle_response_start(run, std::move(start.response_), start.complete_);
                    },
                    [&](http::response_part& part) {
@@ -160,6 +178,23 @@
                event);
 }
 
+void connector::process_statement(const std::string& instance, const http::response& r)
+{
+    const protocol& p = settings_.protocol_;
+    const bool misdirected = p.misdirected_status_ != 0 && r.status_ == p.misdirected_status_;
+    if (misdirected || !available_ || !last_announcement_ || last_announcement_->instance_ != instance)
+        return;
+    if (!p.rate_limit_header_.empty()) {
+        const std::optional<double> limit =
+            decimal_number(http::find_header(r.headers_, p.rate_limit_header_));
+        if (limit != stated_limit_)
+            log_info("backend", "limit_stated",
+                     "instance=" + instance + " per_second=" + (limit ? std::to_string(*limit) : "none"));
+        stated_limit_ = limit;
+        handle(decide::backend_stated_limit{limit});
+    }
+}
+
 // Handles the start of a response. A misdirected request, or one that the instance says it has not run, is
 // reported to the gate as refused. Where the protocol has an executed header, a response without it (or with
 // a content encoding, which an intermediary may have added) may not come from the instance: the run is
--- a/src/backend/connector.h
+++ b/src/backend/connector.h
@@ -51,10 +51,12 @@
     }
 
 private:
-    void handle_response(decide::run_id run, http::response_event e);
+    void handle_response(decide::run_id run, const std::string& instance, http::response_event e);
     void handle_registration(http::exchange& e);
     void process(const announcement& a);
     void process(const deregistration& f);
+    // What an instance states of itself in a response, of whatever status.
+    void process_statement(const std::string& instance, const http::response& r);
     bool is_outdated(const announcement& a) const;
     bool predates_daemon(const announcement& a) const;
     void handle_response_start(decide::run_id run, http::response r, bool complete);
@@ -82,6 +84,7 @@
     std::vector<std::unique_ptr<http::client>>
         earlier_clients_; // for earlier addresses, until their requests have ended
     std::optional<announcement> last_announcement_;
+    std::optional<double> stated_limit_; // requests a second, in the last response; for the log
     http::address backend_address_;
     std::uint64_t last_run_ = 0;
     std::uint32_t connections_ = 0;
--- a/src/decide/gate/gate.cpp
+++ b/src/decide/gate/gate.cpp
@@ -45,13 +45,24 @@
 {
     return {static_cast<std::uint32_t>(running_.size()),
             static_cast<std::uint32_t>(waiting_.size() + bodies_.size()),
-            cold_ ? std::min(limit_.value(), cold_limit()) : limit_.value()};
+            std::min(limit_.value(), rate_bound_concurrency())};
 }
 
-std::uint32_t gate::cold_limit() const
+std::uint32_t gate::rate_bound_concurrency() const
 {
+    const std::optional<double> rate = rate_limit();
+    if (!rate)
+        return limit_.value();
     const double mean = std::chrono::duration<double>(limit_.mean_run()).count();
-    return static_cast<std::uint32_t>(std::max(1.0, mean * cold_rate()));
+    return static_cast<std::uint32_t>(std::max(1.0, mean * *rate));
+}
+
+std::optional<double> gate::rate_limit() const
+{
+    const std::optional<double> stated = stated_limiter_.rate();
+    if (!cold_)
+        return stated;
+    return std::min<double>(cold_rate(), stated.value_or(cold_rate()));
 }
 
 std::uint32_t gate::cold_rate() const
@@ -64,6 +75,8 @@
 
 bool gate::has_room(time_point now) const
 {
+    if (!stated_limiter_.admits(now))
+        return false;
     if (!backend_ || !backend_->cold_left_)
         return limit_.admits(running_.size(), now);
     return running_.size() < limit_.value() && cold_limiter_.admits(cold_rate(), now);
@@ -89,8 +102,10 @@
     else {
         limit_.set_max(e.slots_, e.connections_);
     }
-    if (fresh)
+    if (fresh) {
         limit_.cold_start(now);
+        stated_limiter_.set_rate({}, now);
+    }
     const bool restarted = e.start_ != backend_start_ && backend_start_ != 0;
     for (const held_call& held : std::exchange(possible_crashes_, {}))
         if (restarted)
@@ -104,6 +119,12 @@
         refuse_waiting(code::draining, now);
 }
 
+void gate::on(const backend_stated_limit& e, time_point now)
+{
+    stated_limiter_.set_rate(e.per_second_, now);
+    start_waiting(now);
+}
+
 void gate::on(const backend_lost&, time_point now)
 {
     clear_backend(now);
@@ -340,9 +361,11 @@
         return false;
     const auto before = static_cast<duration::rep>(waiting_.ahead_of(held.shed_, held.priority_) + 1);
     duration wait = limit_.mean_run() * before / std::max<duration::rep>(1, limit_.value());
-    if (cold_)
-        wait = std::max<duration>(wait, cold_limiter_.blocked_for(now) +
-                                            std::chrono::seconds(1) * before / cold_rate());
+    if (const std::optional<double> rate = rate_limit()) {
+        const duration blocked = cold_ ? cold_limiter_.blocked_for(now) : duration::zero();
+        const std::chrono::duration<double> turn(static_cast<double>(before) / *rate);
+        wait = std::max<duration>(wait, blocked + std::chrono::duration_cast<duration>(turn));
+    }
     if (held.late_)
         wait *= late_wait_factor;
     return now + wait + limit_.mean_run(held.call_.route_) > held.useful_until_;
@@ -375,6 +398,7 @@
     last_run_ = last_run_.next();
     limit_.started(last_run_, running_.size());
     cold_limiter_.record_start(now);
+    stated_limiter_.record_start(now);
     held.started_ = now;
     actions_.push_back(
         start_run{last_run_, held.call_.id_, held.call_.request_, held.deadline_ - now, backend_->instance_});
--- a/src/decide/gate/gate.h
+++ b/src/decide/gate/gate.h
@@ -18,6 +18,7 @@
 #include "decide/gate/cold_rate_limiter.h"
 #include "decide/gate/concurrency_limit.h"
 #include "decide/gate/key_replica.h"
+#include "decide/gate/stated_rate_limiter.h"
 #include "decide/moves/version_stats_collector.h"
 #include "decide/view.h"
 
@@ -38,6 +39,12 @@
     bool predates_daemon_ = false; // started before this daemon; a previous daemon may have sent it requests
     friend bool operator==(const backend_announced&, const backend_announced&) = default;
 };
+// What the backend server states of itself in an answer: the requests a second that it takes, empty if it
+// sets no limit.
+struct backend_stated_limit {
+    std::optional<double> per_second_;
+    friend bool operator==(const backend_stated_limit&, const backend_stated_limit&) = default;
+};
 // The heartbeat timed out, or the backend server's address refuses connections.
 struct backend_lost {
     friend bool operator==(const backend_lost&, const backend_lost&) = default;
@@ -98,9 +105,10 @@
 struct gate_tick {
     friend bool operator==(const gate_tick&, const gate_tick&) = default;
 };
-using gate_event = std::variant<backend_announced, backend_lost, stop_requested, call_message, run_answered,
-                                run_continued, run_not_sent, run_refused, run_broken, peer_gate_message,
-                                peer_gate_disconnected, gate_view_changed, gate_tick>;
+using gate_event =
+    std::variant<backend_announced, backend_stated_limit, backend_lost, stop_requested, call_message,
+                 run_answered, run_continued, run_not_sent, run_refused, run_broken, peer_gate_message,
+                 peer_gate_disconnected, gate_view_changed, gate_tick>;
 
 // Sends a request to the backend server.
 struct start_run {
@@ -175,6 +183,7 @@
     };
 
     void on(const backend_announced& e, time_point now);
+    void on(const backend_stated_limit& e, time_point now);
     void on(const backend_lost& e, time_point now);
     void on(const stop_requested& e, time_point now);
     void on(const call_message& e, time_point now);
@@ -205,8 +214,10 @@
     bool has_room(time_point now) const;
     // Requests a second that may start while the backend server is cold.
     std::uint32_t cold_rate() const;
+    // Requests a second that may start now; empty if only their number at once is limited.
+    std::optional<double> rate_limit() const;
     // The concurrency that this rate amounts to, at the mean run time.
-    std::uint32_t cold_limit() const;
+    std::uint32_t rate_bound_concurrency() const;
     // True if a call for this version (or for any version) may run on the backend server's version.
     bool serves(const version_name& version) const;
     // Removes a run whose request was not executed; empty if the run has ended already.
@@ -279,6 +290,7 @@
     bool stopping_ = false;
     concurrency_limit limit_;
     cold_rate_limiter cold_limiter_;
+    stated_rate_limiter stated_limiter_;
     bool cold_ = false; // cold_limiter_.cold() as of the last event
     // Broken runs of which it is open whether the backend server crashed.
     std::vector<held_call> possible_crashes_;
--- a/tests/decide/gate/stated_backend_test.cpp
+++ b/tests/decide/gate/stated_backend_test.cpp
@@ -47,6 +47,42 @@
     EXPECT_EQ(runs_.size(), 12U);
 }
 
+// Guards against a backend server in need that gets far more requests than the limit that it has named.
+TEST_F(stated_backend, gets_no_more_requests_a_second_than_it_states)
+{
+    constexpr std::size_t per_second = 13;
+    EXPECT_GT(starts_within(seconds(4)), 10 * per_second);
+    handle(backend_stated_limit{per_second});
+    // Some are started at once, then each when it is due
+    EXPECT_LE(starts_within(seconds(4)), 4 * per_second + per_second / 4 + 1);
+    EXPECT_GE(starts_within(seconds(4)), 4 * per_second - 1);
+    // The entries learn from the gate's load how little it takes
+    EXPECT_LT(gate_.load().limit_, 12U);
+    {
+        SCOPED_TRACE("Its heartbeats don't lift the limit; an answer without one does");
+        announce(seconds(0));
+        EXPECT_LE(starts_within(seconds(1)), per_second + per_second / 4 + 1);
+        handle(backend_stated_limit{});
+        EXPECT_GT(starts_within(seconds(1)), 2 * per_second);
+    }
+    {
+        SCOPED_TRACE("After a restart it has stated nothing yet");
+        handle(backend_stated_limit{per_second});
+        announce(seconds(0), 3);
+        EXPECT_GT(starts_within(seconds(1)), 2 * per_second);
+    }
+}
+
+TEST_F(stated_backend, refuses_at_once_what_its_limit_leaves_no_time_for)
+{
+    handle(backend_stated_limit{1.0});
+    for (std::uint64_t i = 1; i <= 20; ++i)
+        send(make(i));
+    EXPECT_LE(runs_.size(), 1U);
+    // The last call would have had to wait for longer than its deadline of 2 s
+    EXPECT_EQ(refused(), code::overloaded);
+}
+
 TEST_F(stated_backend, gets_nothing_for_a_second_from_a_daemon_that_follows_another)
 {
     // Given a cold backend server to which a previous daemon may just have sent requests
