A backend server that says in its answers that it leaves gets no further request

Change: such an answer counts as the announcement that it drains, for this start of it; the mesh learns of it, and the gate refuses further calls.

--- a/src/backend/announcement.h
+++ b/src/backend/announcement.h
@@ -45,6 +45,7 @@
     std::string executed_header_; // of a response: present if the instance ran the request
     std::string
         rate_limit_header_; // of a response: the requests a second that the instance takes, a decimal number
+    std::string leaving_header_; // of a response: 1 if the instance leaves, and is to get no new requests
     int misdirected_status_ = 0; // of a response by an instance that the request was not meant for; 0: none
     http::response_rules responses_;
     // Decodes a registration message; request_malformed if it is invalid. listener is the address that
--- a/src/backend/connector.cpp
+++ b/src/backend/connector.cpp
@@ -105,6 +105,11 @@
 {
     if (!last_announcement_ || last_announcement_->instance_ != f.instance_ || !available_)
         return;
+    begin_draining();
+}
+
+void connector::begin_draining()
+{
     announcement last = *last_announcement_;
     last.draining_ = true;
     ++last.sequence_;
@@ -193,6 +198,9 @@
         stated_limit_ = limit;
         handle(decide::backend_stated_limit{limit});
     }
+    if (!p.leaving_header_.empty() && http::find_header(r.headers_, p.leaving_header_) == "1" &&
+        !last_announcement_->draining_)
+        begin_draining();
 }
 
 // Handles the start of a response. A misdirected request, or one that the instance says it has not run, is
--- a/src/backend/connector.h
+++ b/src/backend/connector.h
@@ -55,6 +55,8 @@
     void handle_registration(http::exchange& e);
     void process(const announcement& a);
     void process(const deregistration& f);
+    // The instance leaves: it gets no new requests.
+    void begin_draining();
     // What an instance states of itself in a response, of whatever status.
     void process_statement(const std::string& instance, const http::response& r);
     bool is_outdated(const announcement& a) const;
