--- a/tests/platform/odd_entries_test.cpp
+++ b/tests/platform/odd_entries_test.cpp
@@ -52,8 +52,9 @@
 {
     for (const std::string& odd : odd_entries()) {
         SCOPED_TRACE(odd.substr(0, 80));
-        const auto page = read_page(
-            {200, {}, R"({"items":[)" + odd + "," + good_entry + R"(],"hasMore":false,"currentRev":9})"});
+        std::string body = R"({"items":[)";
+        body.append(odd).append(",").append(good_entry).append(R"(],"hasMore":false,"currentRev":9})");
+        const auto page = read_page({200, {}, body});
         ASSERT_TRUE(ok(page));
         EXPECT_TRUE(has_good_entry(value(page).objects_));
         EXPECT_EQ(value(page).revision_, 9U);
@@ -70,11 +71,10 @@
 {
     for (const std::string& odd : odd_entries()) {
         SCOPED_TRACE(odd.substr(0, 80));
-        const auto changes =
-            read_changes({200,
-                          {},
-                          R"({"events":[{"tombstone":false,"object":)" + odd +
-                              R"(},{"tombstone":false,"object":)" + good_entry + R"(}],"currentRev":9})"});
+        std::string body = R"({"events":[{"tombstone":false,"object":)";
+        body.append(odd).append(R"(},{"tombstone":false,"object":)").append(good_entry);
+        body.append(R"(}],"currentRev":9})");
+        const auto changes = read_changes({200, {}, body});
         ASSERT_TRUE(ok(changes));
         ASSERT_FALSE(value(changes).events_.empty());
         EXPECT_EQ(value(changes).events_.back().object_.name_, "leon");
