A stated limit beyond all counts is no overflow; the entry's exposure limit has one look-up

Found in reading: the load report converted a mean run time times the stated rate to an integer before it was bounded; a rate of 1e300 made that undefined. It is bounded first, and a test states such a rate. Decisions are the same: no functional change but for such a rate.

--- a/src/decide/entry/entry.cpp
+++ b/src/decide/entry/entry.cpp
@@ -213,14 +213,14 @@
            limit->second.allows(move, *view_->find_move(move.id()), alive_daemons());
 }
 
-void entry::limit_exposure(request_state& r) const
+void entry::apply_exposure_limit(request_state& r) const
 {
     const move_rule* move = open_move(r.call_.service_);
     if (move && r.call_.version_ == move->version_ && !may_expose(*move))
         r.call_.version_ = view_->configuration_->find_service(r.call_.service_)->version_;
 }
 
-void entry::limit_exposures()
+void entry::update_exposure_limits()
 {
     std::erase_if(exposures_, [this](const auto& item) { return !view_->find_move(item.first); });
     if (!view_->configuration_)
@@ -230,12 +230,11 @@
             exposures_.emplace(move.id(), exposure_limit(random_share(random_)));
 }
 
-void entry::record_exposure(const request_state& r)
+exposure_limit* entry::exposure_limit_of(const request_state& r)
 {
     const move_rule* move = open_move(r.call_.service_);
     const auto limit = move ? exposures_.find(move->id()) : exposures_.end();
-    if (limit != exposures_.end() && r.call_.version_ == move->version_)
-        limit->second.record_new();
+    return limit == exposures_.end() ? nullptr : &limit->second;
 }
 
 std::optional<daemon_name> entry::choose_gate(request_state& r, time_point now)
@@ -250,7 +249,7 @@
 
 void entry::attempt(request_state& r, time_point now, code last_failure)
 {
-    limit_exposure(r);
+    apply_exposure_limit(r);
     auto gate = choose_gate(r, now);
     // If no untried gate is left, one that was tried gets the request again, unless it
     // must not run twice.
@@ -287,7 +286,9 @@
     set_header(headers, protocol_.depth_header_, std::to_string(r.call_.depth_ + 1));
     if (!protocol_.caller_names_requests_)
         set_header(headers, protocol_.identity_header_, r.call_.identity_);
-    record_exposure(r);
+    if (exposure_limit* limit = exposure_limit_of(r);
+        limit && r.call_.version_ == open_move(r.call_.service_)->version_)
+        limit->record_new();
     balancer_.began(gate);
     attempts_[r.call_.id_] = r.exchange_;
     schedule(r, std::min(r.deadline_, now + acknowledgement_timeout));
@@ -314,10 +315,8 @@
     balancer_.ended(r.gate_, how, now - r.sent_, random_, now);
     if (how != attempt_end::answered && how != attempt_end::failed)
         return; // it may not have reached a backend server
-    const move_rule* move = open_move(r.call_.service_);
-    const auto limit = move ? exposures_.find(move->id()) : exposures_.end();
-    if (limit != exposures_.end())
-        limit->second.record_reached();
+    if (exposure_limit* limit = exposure_limit_of(r))
+        limit->record_reached();
 }
 
 void entry::on(const caller_gone& e, time_point now)
@@ -448,7 +447,7 @@
     if (same)
         return;
     balancer_.set_view(*view_, now);
-    limit_exposures();
+    update_exposure_limits();
 }
 
 void entry::on(const entry_stop& e, time_point)
--- a/src/decide/entry/entry.h
+++ b/src/decide/entry/entry.h
@@ -169,16 +169,17 @@
 
     service_name choose_service(const route_rule& route);
     version_name choose_version(const service_name& service);
-    // The move of this service while its version is still on probation; null if there is none.
+    // The move of this service that has begun and is not done; null if there is none.
     const move_rule* open_move(const service_name& service) const;
+    // The exposure limit of a request's service; null if none is set now.
+    exposure_limit* exposure_limit_of(const request_state& r);
     // True if the move's exposure limit leaves room for one more call to its version.
     bool may_expose(const move_rule& move) const;
     // A call to the version of an open move goes to the version of the service rule once the limit is
     // reached.
-    void limit_exposure(request_state& r) const;
-    void record_exposure(const request_state& r);
+    void apply_exposure_limit(request_state& r) const;
     // Starts and drops the exposure limits with the moves in the view.
-    void limit_exposures();
+    void update_exposure_limits();
     // Random Retry-After time for a request that has not run.
     duration retry_after();
     double reserve_per_daemon(std::uint32_t reserve) const;
--- a/src/decide/gate/gate.cpp
+++ b/src/decide/gate/gate.cpp
@@ -44,8 +44,7 @@
 load_report gate::load() const
 {
     return {static_cast<std::uint32_t>(running_.size()),
-            static_cast<std::uint32_t>(waiting_.size() + bodies_.size()),
-            std::min(limit_.value(), rate_bound_concurrency())};
+            static_cast<std::uint32_t>(waiting_.size() + bodies_.size()), rate_bound_concurrency()};
 }
 
 std::uint32_t gate::rate_bound_concurrency() const
@@ -54,7 +53,7 @@
     if (!rate)
         return limit_.value();
     const double mean = std::chrono::duration<double>(limit_.mean_run()).count();
-    return static_cast<std::uint32_t>(std::max(1.0, mean * *rate));
+    return static_cast<std::uint32_t>(std::clamp<double>(mean * *rate, 1, std::max(1U, limit_.value())));
 }
 
 std::optional<double> gate::rate_limit() const
--- a/src/decide/gate/gate.h
+++ b/src/decide/gate/gate.h
@@ -217,6 +217,7 @@
     // Requests a second that may start now; empty if only their number at once is limited.
     std::optional<double> rate_limit() const;
     // The concurrency that this rate amounts to, at the mean run time.
+    // Runs at once that the limits on their number and on their rate allow.
     std::uint32_t rate_bound_concurrency() const;
     // True if a call for this version (or for any version) may run on the backend server's version.
     bool serves(const version_name& version) const;
--- a/tests/decide/gate/stated_backend_test.cpp
+++ b/tests/decide/gate/stated_backend_test.cpp
@@ -65,6 +65,11 @@
         handle(backend_stated_limit{});
         EXPECT_GT(starts_within(seconds(1)), 2 * per_second);
     }
+    {
+        SCOPED_TRACE("A limit that is far above what it can run changes nothing");
+        handle(backend_stated_limit{1e300});
+        EXPECT_GT(starts_within(seconds(1)), 2 * per_second);
+    }
     {
         SCOPED_TRACE("After a restart it has stated nothing yet");
         handle(backend_stated_limit{per_second});
